--- /dev/null
+++ b/Makefile
@@ -0,0 +1,41 @@
+# Every command makes its own environment from the pinned requirements.
+ROOT := $(dir $(abspath $(lastword $(MAKEFILE_LIST))))
+PYTHON ?= python3
+VENV ?= $(ROOT).venv
+RUN := cd $(ROOT) && PYTHONPATH=$(ROOT) $(VENV)/bin
+STAMP := $(VENV)/.requirements-installed
+JOBS ?= 6
+
+.PHONY: environment demo test lint format bench-path bench-policy fuzz
+
+$(STAMP): $(ROOT)requirements.txt $(ROOT)requirements-dev.txt
+	$(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/python -m pip install --quiet --disable-pip-version-check \
+		-r $(ROOT)requirements-dev.txt
+	touch $@
+
+environment: $(STAMP)
+
+lint: $(STAMP)
+	$(RUN)/ruff format --check .
+	$(RUN)/ruff check .
+	$(RUN)/mypy
+
+format: $(STAMP)
+	$(RUN)/ruff format .
+	$(RUN)/ruff check --fix .
+
+test: lint
+	$(RUN)/python -m pytest -n $(JOBS)
+
+demo: $(STAMP)
+	@$(RUN)/python -m examples.demo
+
+bench-path: $(STAMP)
+	$(RUN)/python -m benchmarks.path
+
+bench-policy: $(STAMP)
+	$(RUN)/python -m benchmarks.policy
+
+fuzz: $(STAMP)
+	$(RUN)/python -m benchmarks.fuzz
--- /dev/null
+++ b/buckthornstile/__init__.py
@@ -0,0 +1,1 @@
+"""A rollout service for reinforcement learning."""
--- /dev/null
+++ b/buckthornstile/base/_errors.py
@@ -0,0 +1,159 @@
+"""Errors with codes, and verdicts on whether a request may have run."""
+
+from enum import Enum
+
+
+class Verdict(Enum):
+    """Whether an upstream may have run a request.
+
+    ``NOT_RUN`` is a promise: no upstream has started the request and none ever
+    will under the same request id. ``RAN`` says that a whole answer exists.
+    """
+
+    NOT_RUN = "not_run"
+    MAY_HAVE_RUN = "may_have_run"
+    RAN = "ran"
+
+
+class ErrorCode(Enum):
+    """The stable codes of every error that leaves a process."""
+
+    # Requests
+    BODY_TOO_LARGE = "request.body_too_large"
+    BODY_MALFORMED = "request.body_malformed"
+    HEADER_INVALID = "request.header_invalid"
+    ROUTE_UNKNOWN = "request.route_unknown"
+    DEADLINE_PASSED = "request.deadline_passed"
+    CANCELLED = "request.cancelled"
+    ATTEMPT_OUT_OF_MEMORY = "request.attempt_out_of_memory"
+    DUPLICATE_IN_FLIGHT = "request.duplicate_in_flight"
+    SEALED = "request.sealed"
+    # Keys
+    KEY_MISSING = "key.missing"
+    KEY_UNKNOWN = "key.unknown"
+    KEY_WITHDRAWN = "key.withdrawn"
+    ACCOUNT_NOT_ALLOWED = "key.account_not_allowed"
+    # Load
+    QUEUE_FULL = "load.queue_full"
+    NO_UPSTREAM = "load.no_upstream"
+    RETRY_BUDGET_SPENT = "load.retry_budget_spent"
+    # Processes
+    CONFIGURATION_OLD = "process.configuration_old"
+    CONFIGURATION_MISSING = "process.configuration_missing"
+    DRAINING = "process.draining"
+    PROOF_WRONG = "process.proof_wrong"
+    FRAME_MALFORMED = "process.frame_malformed"
+    CONNECTION_LOST = "process.connection_lost"
+    # Upstreams
+    UPSTREAM_FAILED = "upstream.failed"
+    ANSWER_TRUNCATED = "upstream.answer_truncated"
+    ANSWER_CROSSED = "upstream.answer_crossed"
+    VERSION_UNVERIFIABLE = "upstream.version_unverifiable"
+    # Samples
+    ATTACH_OLD = "sample.attach_old"
+    SAMPLE_TOO_OLD = "sample.too_old"
+    LOT_UNKNOWN = "sample.lot_unknown"
+    LOT_INVALID = "sample.lot_invalid"
+    # Orders and the lease
+    TERM_OLD = "lease.term_old"
+    LEASE_NOT_HELD = "lease.not_held"
+    ORDER_LATE = "order.late"
+    ORDER_UNKNOWN = "order.unknown"
+    # The platform
+    PLATFORM_UNAVAILABLE = "platform.unavailable"
+    RECORD_MALFORMED = "platform.record_malformed"
+    # Operators
+    CONFIGURATION_CONFLICT = "configuration.conflict"
+    CONFIGURATION_INVALID = "configuration.invalid"
+    REMOVAL_TOO_LARGE = "configuration.removal_too_large"
+    SHEET_INVALID = "sheet.invalid"
+    SETTING_INVALID = "setting.invalid"
+    INTERNAL = "internal"
+
+
+class BuckthornstileError(Exception):
+    """An error with a stable code and a verdict.
+
+    Args:
+        code: What went wrong.
+        message: One sentence for a person; never holds a key.
+        verdict: Whether the request may have run.
+        retry_after: Seconds after which a retry may succeed, if known.
+
+    Example:
+        >>> error = BuckthornstileError(ErrorCode.QUEUE_FULL, "the queue is full")
+        >>> error.code.value, error.verdict.value
+        ('load.queue_full', 'not_run')
+    """
+
+    def __init__(
+        self,
+        code: ErrorCode,
+        message: str = "",
+        *,
+        verdict: Verdict = Verdict.NOT_RUN,
+        retry_after: float | None = None,
+    ) -> None:
+        super().__init__(message or code.value)
+        self.code = code
+        self.message = message or code.value
+        self.verdict = verdict
+        self.retry_after = retry_after
+
+
+class PlatformUnavailableError(BuckthornstileError):
+    """A call to the platform failed or timed out.
+
+    Args:
+        message: One sentence for a person.
+        may_have_taken_effect: Whether the call may have been carried out.
+
+    Example:
+        >>> PlatformUnavailableError("timed out").may_have_taken_effect
+        True
+    """
+
+    def __init__(self, message: str, *, may_have_taken_effect: bool = True) -> None:
+        super().__init__(ErrorCode.PLATFORM_UNAVAILABLE, message)
+        self.may_have_taken_effect = may_have_taken_effect
+
+
+HTTP_STATUS: dict[ErrorCode, int] = {
+    ErrorCode.BODY_TOO_LARGE: 413,
+    ErrorCode.BODY_MALFORMED: 400,
+    ErrorCode.HEADER_INVALID: 400,
+    ErrorCode.LOT_INVALID: 400,
+    ErrorCode.ROUTE_UNKNOWN: 404,
+    ErrorCode.LOT_UNKNOWN: 404,
+    ErrorCode.KEY_MISSING: 401,
+    ErrorCode.KEY_UNKNOWN: 401,
+    ErrorCode.KEY_WITHDRAWN: 401,
+    ErrorCode.ACCOUNT_NOT_ALLOWED: 403,
+    ErrorCode.DUPLICATE_IN_FLIGHT: 409,
+    ErrorCode.ATTEMPT_OUT_OF_MEMORY: 409,
+    ErrorCode.ATTACH_OLD: 409,
+    ErrorCode.QUEUE_FULL: 429,
+    ErrorCode.DEADLINE_PASSED: 504,
+    ErrorCode.UPSTREAM_FAILED: 502,
+    ErrorCode.ANSWER_TRUNCATED: 502,
+    ErrorCode.ANSWER_CROSSED: 502,
+    ErrorCode.CONNECTION_LOST: 502,
+    ErrorCode.INTERNAL: 500,
+}
+DEFAULT_HTTP_STATUS = 503
+
+
+def get_http_status(code: ErrorCode) -> int:
+    """Gives the HTTP status that an error code is answered with.
+
+    Args:
+        code: The error's code.
+
+    Returns:
+        The status; 503 for codes without one of their own.
+
+    Example:
+        >>> get_http_status(ErrorCode.KEY_MISSING)
+        401
+    """
+    return HTTP_STATUS.get(code, DEFAULT_HTTP_STATUS)
--- /dev/null
+++ b/buckthornstile/wire/_codec.py
@@ -0,0 +1,161 @@
+"""Encodes messages as Cap'n Proto and decodes them.
+
+The schema is loaded as data from ``messages.capnp``. A codec for each message
+is worked out once, from the fields of its dataclass.
+"""
+
+import dataclasses
+import pathlib
+import types
+import typing
+from collections.abc import Callable
+from enum import Enum
+from typing import Any
+
+import capnp
+
+from buckthornstile.base import BuckthornstileError, ErrorCode
+from buckthornstile.wire import _messages
+from buckthornstile.wire._messages import Message
+
+capnp.remove_import_hook()
+_SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name("messages.capnp")))
+_TRAVERSAL_LIMIT_WORDS = 1 << 26
+_Convert = Callable[[Any], Any]
+
+
+def _to_camel(name: str) -> str:
+    head, *tail = name.split("_")
+    return head + "".join(part.capitalize() for part in tail)
+
+
+def _keep(value: Any) -> Any:
+    return value
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _FieldCodec:
+    name: str
+    wire_name: str
+    encode: _Convert
+    decode: _Convert
+
+
+def _get_enum(annotation: Any) -> tuple[type[Enum] | None, bool]:
+    """Finds the enum of ``E`` or ``E | None``, and whether None is allowed."""
+    if isinstance(annotation, types.UnionType):
+        members = [m for m in typing.get_args(annotation) if m is not type(None)]
+        return members[0], True
+    if isinstance(annotation, type) and issubclass(annotation, Enum):
+        return annotation, False
+    return None, False
+
+
+def _make_field_codec(field: dataclasses.Field[Any], annotation: Any) -> _FieldCodec:
+    wire_name = _to_camel(field.name)
+    enum, optional = _get_enum(annotation)
+    if enum is not None and optional:
+        return _FieldCodec(
+            field.name,
+            wire_name,
+            lambda value: "" if value is None else value.value,
+            lambda text: enum(text) if text else None,
+        )
+    if enum is not None:
+        return _FieldCodec(field.name, wire_name, lambda value: value.value, enum)
+    if typing.get_origin(annotation) is tuple:
+        item = _make_struct_codec(typing.get_args(annotation)[0])
+        return _FieldCodec(
+            field.name,
+            wire_name,
+            lambda values: [item.to_dict(value) for value in values],
+            lambda values: tuple(item.from_reader(value) for value in values),
+        )
+    if annotation is bytes:
+        return _FieldCodec(field.name, wire_name, _keep, bytes)
+    return _FieldCodec(field.name, wire_name, _keep, _keep)
+
+
+class _StructCodec:
+    """Converts one dataclass to and from a Cap'n Proto struct."""
+
+    def __init__(self, kind: type) -> None:
+        hints = typing.get_type_hints(kind, vars(_messages))
+        self.kind = kind
+        self.fields = tuple(
+            _make_field_codec(field, hints[field.name])
+            for field in dataclasses.fields(kind)
+        )
+
+    def to_dict(self, message: Any) -> dict[str, Any]:
+        return {f.wire_name: f.encode(getattr(message, f.name)) for f in self.fields}
+
+    def from_reader(self, reader: Any) -> Any:
+        return self.kind(*[f.decode(getattr(reader, f.wire_name)) for f in self.fields])
+
+
+_STRUCT_CODECS: dict[type, _StructCodec] = {}
+
+
+def _make_struct_codec(kind: type) -> _StructCodec:
+    if kind not in _STRUCT_CODECS:
+        _STRUCT_CODECS[kind] = _StructCodec(kind)
+    return _STRUCT_CODECS[kind]
+
+
+_UNION_NAMES: dict[type, str] = {
+    kind: kind.__name__[0].lower() + kind.__name__[1:]
+    for kind in typing.get_args(Message)
+}
+_UNION_CODECS: dict[str, _StructCodec] = {
+    name: _make_struct_codec(kind) for kind, name in _UNION_NAMES.items()
+}
+
+
+def encode_message(message: Message) -> bytes:
+    """Encodes one message.
+
+    Args:
+        message: The message.
+
+    Returns:
+        A Cap'n Proto message, without the frame's length.
+
+    Example:
+        >>> data = encode_message(_messages.Goodbye(reason="stop"))
+        >>> decode_message(data)
+        Goodbye(reason='stop')
+    """
+    name = _UNION_NAMES[type(message)]
+    fields = _UNION_CODECS[name].to_dict(message)
+    return _SCHEMA.Envelope.new_message(**{name: fields}).to_bytes()
+
+
+def decode_message(data: bytes) -> Message:
+    """Decodes one message.
+
+    Args:
+        data: The frame's body.
+
+    Returns:
+        The message.
+
+    Raises:
+        BuckthornstileError: With ``FRAME_MALFORMED`` for anything else than a
+            message of this schema.
+
+    Example:
+        >>> decode_message(b"garbage")
+        Traceback (most recent call last):
+        buckthornstile.base._errors.BuckthornstileError: ...
+    """
+    try:
+        with _SCHEMA.Envelope.from_bytes(
+            data, traversal_limit_in_words=_TRAVERSAL_LIMIT_WORDS
+        ) as envelope:
+            name = envelope.which()
+            return _UNION_CODECS[str(name)].from_reader(getattr(envelope, str(name)))
+    except (capnp.KjException, ValueError, KeyError, AttributeError) as error:
+        raise BuckthornstileError(
+            ErrorCode.FRAME_MALFORMED, "a frame does not hold a known message"
+        ) from error
