Fold the configuration from the log

Cause: operators' changes need one order, no reversion and a relay for processes cut off from the log.

--- /dev/null
+++ b/buckthornstile/configuration/_change.py
@@ -0,0 +1,186 @@
+"""Checks a change against one revision and works out the next."""
+
+from collections import Counter
+from collections.abc import Iterable
+
+from pydantic import TypeAdapter
+
+from buckthornstile.base import (
+    BuckthornstileError,
+    ErrorCode,
+    Offset,
+    check_name,
+)
+from buckthornstile.configuration._model import (
+    Configuration,
+    make_configuration,
+    normalise_path,
+)
+from buckthornstile.records import (
+    ANY_ACCOUNT,
+    Account,
+    ConfigurationChange,
+    ConfigurationItem,
+    Key,
+    OpenRoute,
+    Rule,
+)
+
+MAX_CONFIGURATION_BYTES = 900_000
+"""All items together, so that a snapshot fits into one record."""
+
+MAX_PATH_LENGTH = 512
+MAX_REASON_LENGTH = 512
+
+_ITEMS: TypeAdapter[tuple[ConfigurationItem, ...]] = TypeAdapter(
+    tuple[ConfigurationItem, ...]
+)
+
+
+class ChangeError(BuckthornstileError):
+    """A change that the fold rejects.
+
+    Example:
+        >>> ChangeError(ErrorCode.CONFIGURATION_CONFLICT, "base is old").message
+        'base is old'
+    """
+
+
+def apply_change(
+    configuration: Configuration, change: ConfigurationChange, *, offset: int
+) -> Configuration:
+    """Works out the configuration after a change.
+
+    Args:
+        configuration: The configuration before it.
+        change: The change.
+        offset: The offset of the change's record.
+
+    Returns:
+        The next revision.
+
+    Raises:
+        ChangeError: Its base is another revision (``CONFIGURATION_CONFLICT``),
+            or the outcome would be invalid (``CONFIGURATION_INVALID``).
+
+    Example:
+        >>> change = ConfigurationChange(
+        ...     change_id="c", base_revision=0, put=(Account(name="mill-7"),)
+        ... )
+        >>> apply_change(Configuration(), change, offset=4).revision
+        1
+    """
+    if change.base_revision != configuration.revision:
+        raise ChangeError(
+            ErrorCode.CONFIGURATION_CONFLICT,
+            f"the change is based on revision {change.base_revision}; "
+            f"the current one is {configuration.revision}",
+        )
+    _check_texts(change)
+    items = {(item.kind, item.name): item for item in configuration.list_items()}
+    _check_distinct(change)
+    for name in change.remove:
+        if name.kind == "key":
+            raise _make_error(f"key {name.name} can be withdrawn, but not removed")
+        if items.pop((name.kind, name.name), None) is None:
+            raise _make_error(f"{name.kind} {name.name} does not exist")
+    for item in change.put:
+        if isinstance(item, Key):
+            _check_key(configuration, item)
+        items[(item.kind, item.name)] = item
+    after = make_configuration(
+        items.values(), revision=configuration.revision + 1, through=Offset(offset)
+    )
+    _check_items(change.put)
+    _check_references(after)
+    _check_uniqueness(after)
+    _check_size(after)
+    return after
+
+
+def _make_error(message: str) -> ChangeError:
+    return ChangeError(ErrorCode.CONFIGURATION_INVALID, message)
+
+
+def _check_texts(change: ConfigurationChange) -> None:
+    try:
+        check_name("change_id", change.change_id)
+    except ValueError as error:
+        raise _make_error(str(error)) from error
+    if len(change.operator) > MAX_REASON_LENGTH:
+        raise _make_error(f"operator must have at most {MAX_REASON_LENGTH} letters")
+
+
+def _check_distinct(change: ConfigurationChange) -> None:
+    names = Counter((item.kind, str(item.name)) for item in change.put)
+    names.update((name.kind, name.name) for name in change.remove)
+    for (kind, name), count in names.items():
+        if count > 1:
+            raise _make_error(f"{kind} {name} stands {count} times in one change")
+
+
+def _check_key(configuration: Configuration, key: Key) -> None:
+    before = configuration.keys.get(key.name)
+    if before is None:
+        return
+    if (before.digest, before.account) != (key.digest, key.account):
+        raise _make_error(f"key {key.name} exists with another digest or account")
+    if before.withdrawn and not key.withdrawn:
+        raise _make_error(f"key {key.name} is withdrawn and cannot come back")
+
+
+def _check_items(items: Iterable[ConfigurationItem]) -> None:
+    for item in items:
+        is_path = isinstance(item, OpenRoute)
+        try:
+            if not is_path:
+                check_name(item.kind, item.name)
+        except ValueError as error:
+            raise _make_error(str(error)) from error
+        path = item.name if is_path else item.path if isinstance(item, Rule) else "/"
+        if len(path) > MAX_PATH_LENGTH or not path.isprintable():
+            raise _make_error(
+                f"{item.kind} path must be printable and have at most "
+                f"{MAX_PATH_LENGTH} characters"
+            )
+        if isinstance(item, Account) and item.name == ANY_ACCOUNT:
+            raise _make_error(f"account {ANY_ACCOUNT} stands for any account")
+        if len(getattr(item, "reason", "")) > MAX_REASON_LENGTH:
+            raise _make_error(f"reason must have at most {MAX_REASON_LENGTH} letters")
+
+
+def _check_references(after: Configuration) -> None:
+    for key in after.keys.values():
+        if not key.withdrawn and key.account not in after.accounts:
+            raise _make_error(f"key {key.name} names no account: {key.account}")
+    for route in after.open_routes.values():
+        if route.account not in after.accounts:
+            raise _make_error(f"open_route {route.name} names no account")
+    for rule in after.rules.values():
+        if rule.account != ANY_ACCOUNT and rule.account not in after.accounts:
+            raise _make_error(f"rule {rule.name} names no account: {rule.account}")
+
+
+def _check_uniqueness(after: Configuration) -> None:
+    digests = Counter(key.digest for key in after.keys.values())
+    if any(count > 1 for count in digests.values()):
+        raise _make_error("two keys have the same digest")
+    callers = Counter(
+        (normalise_path(rule.path), rule.account, rule.trainer)
+        for rule in after.rules.values()
+    )
+    for (path, account, trainer), count in callers.items():
+        if count > 1:
+            raise _make_error(
+                f"{count} rules hold for path {path or '/'}, "
+                f"account {account}, trainer {trainer}"
+            )
+
+
+def _check_size(after: Configuration) -> None:
+    size = len(_ITEMS.dump_json(after.list_items()))
+    if size > MAX_CONFIGURATION_BYTES:
+        raise _make_error(
+            f"the configuration would have {size} bytes; "
+            f"it must have at most {MAX_CONFIGURATION_BYTES}"
+        )
--- /dev/null
+++ b/buckthornstile/configuration/_keys.py
@@ -0,0 +1,69 @@
+"""Client accounts' keys: made here, known afterwards by their digest only."""
+
+import base64
+import hashlib
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from buckthornstile.base import AccountId, KeyId
+from buckthornstile.records import Key
+
+KEY_PREFIX = "bk_"
+KEY_BYTES = 32
+KEY_ID_BYTES = 4
+
+
+@dataclass(frozen=True, slots=True)
+class NewKey:
+    """A key at the one moment when its clear text is known.
+
+    Args:
+        clear: The clear text, for the client account; shown once.
+        item: What the configuration keeps.
+    """
+
+    clear: str = field(repr=False)
+    item: Key
+
+
+def hash_key(text: str) -> str:
+    """Digests a key's clear text.
+
+    A key holds 256 random bits, so a plain digest cannot be searched.
+
+    Args:
+        text: The clear text.
+
+    Returns:
+        The SHA-256 digest, 64 hexadecimal digits.
+
+    Example:
+        >>> hash_key("bk_example")[:12]
+        'e361cf32a4f3'
+    """
+    return hashlib.sha256(text.encode("utf-8", "surrogatepass")).hexdigest()
+
+
+def make_key(
+    account: AccountId, *, token_bytes: Callable[[int], bytes], name: str = ""
+) -> NewKey:
+    """Makes a key for a client account.
+
+    Args:
+        account: The client account.
+        token_bytes: Gives that many unpredictable bytes, as
+            :func:`secrets.token_bytes` does.
+        name: The key's public id, or empty for one made from the account's.
+
+    Returns:
+        The key in clear and its configuration item.
+
+    Example:
+        >>> key = make_key(AccountId("mill-7"), token_bytes=lambda n: bytes(n))
+        >>> key.item.name, key.item.digest == hash_key(key.clear)
+        ('mill-7-00000000', True)
+    """
+    secret = base64.urlsafe_b64encode(token_bytes(KEY_BYTES)).rstrip(b"=")
+    clear = KEY_PREFIX + secret.decode("ascii")
+    key_id = KeyId(name or f"{account}-{token_bytes(KEY_ID_BYTES).hex()}")
+    return NewKey(clear, Key(name=key_id, account=account, digest=hash_key(clear)))
--- /dev/null
+++ b/buckthornstile/configuration/_model.py
@@ -0,0 +1,198 @@
+"""One revision of the configuration, indexed for the request path."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from buckthornstile.base import (
+    NO_OFFSET,
+    AccountId,
+    FailureDomain,
+    KeyId,
+    Offset,
+    Revision,
+)
+from buckthornstile.records import (
+    ANY_ACCOUNT,
+    ANY_TRAINER,
+    Account,
+    ConfigurationItem,
+    Drain,
+    Key,
+    OpenRoute,
+    Rule,
+)
+
+RuleIndex = Mapping[str, Mapping[tuple[str, str], Rule]]
+
+
+@dataclass(frozen=True, slots=True)
+class Configuration:
+    """The configuration at one revision; a value that never changes.
+
+    Args:
+        revision: The number of accepted changes that made it.
+        through: The offset of the record that made it.
+        accounts: Client accounts by name.
+        keys: Keys by public id, also the withdrawn ones.
+        open_routes: Open routes by path.
+        rules: Rules by name.
+        drains: Drained failure domains by name.
+
+    Example:
+        >>> configuration = make_configuration([Account(name="mill-7")], revision=1)
+        >>> configuration.accounts["mill-7"].weight
+        1.0
+    """
+
+    revision: Revision = Revision(0)
+    through: Offset = NO_OFFSET
+    accounts: Mapping[AccountId, Account] = field(default_factory=dict)
+    keys: Mapping[KeyId, Key] = field(default_factory=dict)
+    open_routes: Mapping[str, OpenRoute] = field(default_factory=dict)
+    rules: Mapping[str, Rule] = field(default_factory=dict)
+    drains: Mapping[FailureDomain, Drain] = field(default_factory=dict)
+    _keys_by_digest: Mapping[str, Key] = field(
+        default_factory=dict, repr=False, compare=False
+    )
+    _rules_by_path: RuleIndex = field(default_factory=dict, repr=False, compare=False)
+    _longest_path: int = field(default=0, repr=False, compare=False)
+
+    def find_key(self, digest: str) -> Key | None:
+        """Finds a key by its digest; it may be withdrawn.
+
+        Example:
+            >>> EMPTY_CONFIGURATION.find_key("0" * 64) is None
+            True
+        """
+        return self._keys_by_digest.get(digest)
+
+    def find_open_route(self, path: str) -> OpenRoute | None:
+        """Finds the open route of exactly this path.
+
+        Example:
+            >>> EMPTY_CONFIGURATION.find_open_route("/v1/hours") is None
+            True
+        """
+        return self.open_routes.get(path)
+
+    def find_rule(
+        self, path: str, account: AccountId, trainer: str = ANY_TRAINER
+    ) -> Rule | None:
+        """Finds the most specific rule for a request.
+
+        The longest path prefix wins, then a named account, then a named trainer.
+
+        Args:
+            path: The request's path, without its query.
+            account: The client account.
+            trainer: The trainer, or ``*`` for a request of none.
+
+        Returns:
+            The rule, or None if no rule serves the request.
+
+        Example:
+            >>> rule = Rule(name="r", path="/v1", service="models")
+            >>> configuration = make_configuration([rule])
+            >>> configuration.find_rule("/v1/completions", "mill-7").name
+            'r'
+            >>> configuration.find_rule("/v10", "mill-7") is None
+            True
+        """
+        prefix = normalise_path(path)
+        if len(prefix) > self._longest_path:
+            # One character more keeps the cut on a segment bound visible.
+            prefix = prefix[: self._longest_path + 1].rpartition("/")[0]
+        while True:
+            rules = self._rules_by_path.get(prefix)
+            if rules is not None:
+                rule = (
+                    rules.get((account, trainer))
+                    or rules.get((account, ANY_TRAINER))
+                    or rules.get((ANY_ACCOUNT, trainer))
+                    or rules.get((ANY_ACCOUNT, ANY_TRAINER))
+                )
+                if rule is not None:
+                    return rule
+            if not prefix:
+                return None
+            prefix = prefix.rpartition("/")[0]
+
+    def is_drained(self, failure_domain: FailureDomain) -> bool:
+        """Tells whether a failure domain gets no new work.
+
+        Example:
+            >>> make_configuration([Drain(name="bench-a")]).is_drained("bench-a")
+            True
+        """
+        return failure_domain in self.drains
+
+    def list_items(self) -> tuple[ConfigurationItem, ...]:
+        """Lists all items, ordered by kind and name.
+
+        Example:
+            >>> [i.kind for i in make_configuration([Drain(name="a")]).list_items()]
+            ['drain']
+        """
+        groups: tuple[Mapping[str, ConfigurationItem], ...] = (
+            self.accounts,
+            self.keys,
+            self.open_routes,
+            self.rules,
+            self.drains,
+        )  # type: ignore[assignment]
+        return tuple(group[name] for group in groups for name in sorted(group))
+
+
+def normalise_path(path: str) -> str:
+    """Drops trailing slashes, so that the root's prefix is empty.
+
+    Example:
+        >>> normalise_path("/v1/")
+        '/v1'
+    """
+    return path.rstrip("/")
+
+
+def make_configuration(
+    items: Iterable[ConfigurationItem],
+    *,
+    revision: int = 0,
+    through: int = NO_OFFSET,
+) -> Configuration:
+    """Makes a configuration of items that were checked before.
+
+    Args:
+        items: The items, in any order.
+        revision: The number of accepted changes that made it.
+        through: The offset of the record that made it.
+
+    Returns:
+        The configuration with its indexes.
+
+    Example:
+        >>> make_configuration([Account(name="mill-7")], revision=3).revision
+        3
+    """
+    every = tuple(items)
+    keys = [item for item in every if isinstance(item, Key)]
+    rules = [item for item in every if isinstance(item, Rule)]
+    index: dict[str, dict[tuple[str, str], Rule]] = {}
+    for rule in rules:
+        by_caller = index.setdefault(normalise_path(rule.path), {})
+        by_caller[(rule.account, rule.trainer)] = rule
+    return Configuration(
+        revision=Revision(revision),
+        through=Offset(through),
+        accounts={i.name: i for i in every if isinstance(i, Account)},
+        keys={key.name: key for key in keys},
+        open_routes={i.name: i for i in every if isinstance(i, OpenRoute)},
+        rules={rule.name: rule for rule in rules},
+        drains={i.name: i for i in every if isinstance(i, Drain)},
+        _keys_by_digest={key.digest: key for key in keys},
+        _rules_by_path=index,
+        _longest_path=max(map(len, index), default=0),
+    )
+
+
+EMPTY_CONFIGURATION = make_configuration(())
+"""The configuration before the first change."""
--- a/buckthornstile/records/_configuration.py
+++ b/buckthornstile/records/_configuration.py
@@ -5,6 +5,7 @@
 from pydantic import BaseModel, ConfigDict, Field
 
 from buckthornstile.base import (
+    NO_OFFSET,
     AccountId,
     ChangeId,
     FailureDomain,
@@ -185,6 +186,8 @@
         through: The offset of the record that made the revision.
         items: All items.
         recent_changes: Ids of the last accepted changes, oldest first.
+        read_through: The last offset that the writer had read: no record after
+            ``through`` and up to it was accepted.
 
     Example:
         >>> ConfigurationSnapshot(revision=0, through=-1).items
@@ -197,3 +200,4 @@
     through: Offset
     items: tuple[ConfigurationItem, ...] = ()
     recent_changes: tuple[ChangeId, ...] = ()
+    read_through: Offset = NO_OFFSET
