Add the fair queue, limits and routing

Cause: entries and agents need their decisions under load as plain functions and small classes, before the daemons can run them.

--- /dev/null
+++ b/buckthornstile/queueing/_fair_queue.py
@@ -0,0 +1,331 @@
+"""Start-time fair queueing by client account, within classes with a floor."""
+
+from collections import OrderedDict
+from collections.abc import Iterable
+from dataclasses import dataclass
+from heapq import heappop, heappush
+
+from buckthornstile.base import AccountId, ErrorCode, RequestClass, RequestId
+from buckthornstile.queueing._items import PushResult, QueueItem
+from buckthornstile.queueing._lane import Lane
+
+_CLASSES = tuple(RequestClass)
+_MAX_UNCHARGED = 65_536
+
+
+@dataclass(slots=True)
+class QueueCounters:
+    """Counts of what the queue did since it was made.
+
+    Example:
+        >>> QueueCounters().pushed
+        0
+    """
+
+    pushed: int = 0
+    popped: int = 0
+    refused: int = 0
+    shed: int = 0
+    expired: int = 0
+    removed: int = 0
+
+
+class _ClassQueue:
+    """The lanes of one class, served by least start tag."""
+
+    def __init__(self, request_class: RequestClass) -> None:
+        self.request_class = request_class
+        self.virtual_time = 0.0
+        self.credit = 0.0
+        self.lanes: dict[AccountId, Lane] = {}
+        self._heap: list[tuple[float, int, AccountId]] = []
+
+    def activate(self, lane: Lane, account: AccountId, sequence: int) -> None:
+        heappush(self._heap, (lane.start_tag, sequence, account))
+
+    def find_lane(self) -> Lane | None:
+        """Gives the lane that is served next, dropping outdated entries."""
+        while self._heap:
+            tag, _, account = self._heap[0]
+            lane = self.lanes.get(account)
+            if lane is not None and lane.items and lane.start_tag == tag:
+                return lane
+            heappop(self._heap)
+        self.credit = 0.0
+        return None
+
+    def discard_idle(self) -> None:
+        """Forgets idle accounts that owe nothing for work already done."""
+        for account in [
+            account
+            for account, lane in self.lanes.items()
+            if not lane.items and lane.start_tag <= self.virtual_time
+        ]:
+            del self.lanes[account]
+
+
+class FairQueue:
+    """A bounded queue that is fair by client account in tokens of work.
+
+    Classes are served in the order of :class:`RequestClass`. A lower class
+    that has items earns ``floor`` tokens for each token of work served above
+    it, and is served as soon as it has earned its next item. Within a class,
+    start-time fair queueing keeps two accounts that both have items within one
+    largest item each of their weighted shares. Each call takes O(log n), but
+    for a push into a full queue, which is linear in the accounts that wait.
+
+    Args:
+        maximum_items: Items that may wait in all.
+        maximum_items_per_account: Items that may wait for one account.
+        floor: The least share of work of each lower class, from 0 to 1.
+
+    Example:
+        >>> queue = FairQueue()
+        >>> item = QueueItem("e1/0", "mill-7", RequestClass.WAITED, cost=20)
+        >>> queue.push(item, 0.0).accepted
+        True
+        >>> queue.pop(0.1).request_id
+        'e1/0'
+    """
+
+    def __init__(
+        self,
+        *,
+        maximum_items: int = 2048,
+        maximum_items_per_account: int = 1024,
+        floor: float = 0.05,
+    ) -> None:
+        self.maximum_items = maximum_items
+        self.maximum_items_per_account = maximum_items_per_account
+        self.floor = floor
+        self.counters = QueueCounters()
+        self._classes = {name: _ClassQueue(name) for name in _CLASSES}
+        self._items: dict[RequestId, QueueItem] = {}
+        self._account_items: dict[AccountId, int] = {}
+        self._deadlines: list[tuple[float, int, RequestId]] = []
+        self._uncharged: OrderedDict[RequestId, QueueItem] = OrderedDict()
+        self._expired: list[QueueItem] = []
+        self._sequence = 0
+
+    def __len__(self) -> int:
+        return len(self._items)
+
+    def __contains__(self, request_id: RequestId) -> bool:
+        return request_id in self._items
+
+    @property
+    def queued_cost(self) -> float:
+        """The work that waits, in tokens."""
+        return sum(
+            lane.cost
+            for queue in self._classes.values()
+            for lane in queue.lanes.values()
+        )
+
+    def push(self, item: QueueItem, now: float) -> PushResult:
+        """Queues an item, or refuses it.
+
+        A full queue sheds the last item of the account that has most work
+        waiting for its weight; if that is the caller's own, it is refused.
+
+        Args:
+            item: The item; its id must not be in the queue.
+            now: The clock reading, in seconds.
+
+        Returns:
+            Whether it was accepted, and which items were shed for it.
+
+        Raises:
+            ValueError: The id waits already.
+        """
+        if item.request_id in self._items:
+            raise ValueError(f"request {item.request_id} is in the queue already")
+        self._expire(now)
+        waiting = self._account_items.get(item.account, 0)
+        if waiting >= self.maximum_items_per_account:
+            return self._refuse()
+        shed: tuple[QueueItem, ...] = ()
+        if len(self._items) >= self.maximum_items:
+            victim = self._choose_victim(item)
+            if victim is None:
+                return self._refuse()
+            self._take(victim.request_id)
+            self.counters.shed += 1
+            shed = (victim,)
+        self._add(item, now)
+        return PushResult(accepted=True, shed=shed)
+
+    def pop(self, now: float) -> QueueItem | None:
+        """Takes the item to be served next.
+
+        Items past their deadline are dropped; see :meth:`take_expired`.
+
+        Args:
+            now: The clock reading, in seconds.
+
+        Returns:
+            The item, or None if none waits.
+        """
+        self._expire(now)
+        chosen = self._choose_class()
+        if chosen is None:
+            return None
+        queue, lane = chosen
+        item = lane.peek()
+        queue.virtual_time = max(queue.virtual_time, lane.start_tag)
+        lane.start_tag += item.cost / item.weight
+        self._take(item.request_id)
+        if lane.items:
+            self._sequence += 1
+            queue.activate(lane, item.account, self._sequence)
+        self._earn_credit(queue, item.cost)
+        self._uncharged[item.request_id] = item
+        while len(self._uncharged) > _MAX_UNCHARGED:
+            self._uncharged.popitem(last=False)
+        self.counters.popped += 1
+        return item
+
+    def remove(self, request_id: RequestId) -> QueueItem | None:
+        """Removes an item that waits.
+
+        Args:
+            request_id: The request.
+
+        Returns:
+            The item, or None if it does not wait here.
+        """
+        if request_id not in self._items:
+            return None
+        self.counters.removed += 1
+        return self._take(request_id)
+
+    def charge(self, request_id: RequestId, cost: float) -> None:
+        """Corrects an account's share once the true work of an item is known.
+
+        Args:
+            request_id: A request that was popped; others are ignored.
+            cost: The true work, in tokens.
+        """
+        item = self._uncharged.pop(request_id, None)
+        if item is None:
+            return
+        queue = self._classes[item.request_class]
+        lane = queue.lanes.get(item.account)
+        if lane is None:
+            return
+        lane.start_tag += (cost - item.cost) / item.weight
+        if lane.items:
+            self._sequence += 1
+            queue.activate(lane, item.account, self._sequence)
+
+    def take_expired(self) -> tuple[QueueItem, ...]:
+        """Gives the items dropped at their deadline since the last call."""
+        expired = tuple(self._expired)
+        self._expired.clear()
+        return expired
+
+    def estimate_wait(
+        self,
+        account: AccountId,
+        request_class: RequestClass,
+        *,
+        tokens_per_second: float,
+        weight: float = 1.0,
+    ) -> float:
+        """Estimates how long a new item would wait.
+
+        Args:
+            account: The item's account.
+            request_class: The item's class.
+            tokens_per_second: The upstream's speed.
+            weight: The account's weight.
+
+        Returns:
+            The wait in seconds, as if nothing else came.
+        """
+        ahead = 0.0
+        own = self._classes[request_class].lanes.get(account)
+        share = (own.cost if own else 0.0) / weight
+        for name in _CLASSES:
+            lanes: Iterable[Lane] = self._classes[name].lanes.values()
+            if name is request_class:
+                ahead += sum(min(lane.cost, share * lane.weight) for lane in lanes)
+                break
+            ahead += sum(lane.cost for lane in lanes)
+        return ahead / max(tokens_per_second, 1.0)
+
+    def _refuse(self) -> PushResult:
+        self.counters.refused += 1
+        return PushResult(accepted=False, code=ErrorCode.QUEUE_FULL)
+
+    def _add(self, item: QueueItem, now: float) -> None:
+        self._sequence += 1
+        queue = self._classes[item.request_class]
+        lane = queue.lanes.get(item.account)
+        if lane is None:
+            queue.discard_idle()
+            lane = queue.lanes[item.account] = Lane(item.request_class)
+        if not lane.items:
+            lane.start_tag = max(lane.start_tag, queue.virtual_time)
+            queue.activate(lane, item.account, self._sequence)
+        lane.add(item, self._sequence, now)
+        self._items[item.request_id] = item
+        self._account_items[item.account] = self._account_items.get(item.account, 0) + 1
+        heappush(self._deadlines, (item.deadline, self._sequence, item.request_id))
+        self.counters.pushed += 1
+
+    def _take(self, request_id: RequestId) -> QueueItem:
+        item = self._items.pop(request_id)
+        self._classes[item.request_class].lanes[item.account].remove(request_id)
+        left = self._account_items[item.account] - 1
+        if left:
+            self._account_items[item.account] = left
+        else:
+            del self._account_items[item.account]
+        return item
+
+    def _expire(self, now: float) -> None:
+        while self._deadlines:
+            deadline, _, request_id = self._deadlines[0]
+            item = self._items.get(request_id)
+            if item is not None and item.deadline == deadline and deadline > now:
+                break
+            heappop(self._deadlines)
+            if item is not None and item.deadline == deadline:
+                self._expired.append(self._take(request_id))
+                self.counters.expired += 1
+
+    def _choose_class(self) -> tuple[_ClassQueue, Lane] | None:
+        chosen: tuple[_ClassQueue, Lane] | None = None
+        for name in reversed(_CLASSES):
+            queue = self._classes[name]
+            lane = queue.find_lane()
+            if lane is None:
+                continue
+            if queue.credit > 0.0 and queue.credit >= lane.peek().cost:
+                return queue, lane
+            chosen = queue, lane
+        return chosen
+
+    def _earn_credit(self, served: _ClassQueue, cost: float) -> None:
+        served.credit = max(0.0, served.credit - cost)
+        below = False
+        for name in _CLASSES:
+            queue = self._classes[name]
+            if below and queue.find_lane() is not None:
+                queue.credit += self.floor * cost
+            below = below or queue is served
+
+    def _choose_victim(self, item: QueueItem) -> QueueItem | None:
+        work: dict[AccountId, float] = {item.account: item.cost / item.weight}
+        for queue in self._classes.values():
+            for account, lane in queue.lanes.items():
+                work[account] = work.get(account, 0.0) + lane.cost / lane.weight
+        account = max(work, key=lambda name: work[name])
+        if account == item.account:
+            return None
+        for name in reversed(_CLASSES):
+            lane_of_class = self._classes[name].lanes.get(account)
+            if lane_of_class is not None and lane_of_class.items:
+                return lane_of_class.find_last()
+        return None
--- /dev/null
+++ b/buckthornstile/queueing/_lane.py
@@ -0,0 +1,66 @@
+"""The items of one client account within one class."""
+
+from heapq import heappop, heappush
+
+from buckthornstile.base import RequestClass, RequestId
+from buckthornstile.queueing._items import QueueItem
+
+_Key = tuple[float, float, int]
+
+
+class Lane:
+    """One account's items in service order, with its start tag.
+
+    Args:
+        request_class: The class that the lane belongs to.
+
+    Example:
+        >>> lane = Lane(RequestClass.WAITED)
+        >>> lane.add(QueueItem("e1/0", "a", RequestClass.WAITED), 0, 0.0)
+        >>> lane.peek().request_id
+        'e1/0'
+    """
+
+    def __init__(self, request_class: RequestClass) -> None:
+        self.request_class = request_class
+        self.start_tag = 0.0
+        self.weight = 1.0
+        self.cost = 0.0
+        self.items: dict[RequestId, tuple[_Key, QueueItem]] = {}
+        self._heap: list[tuple[_Key, RequestId]] = []
+
+    def add(self, item: QueueItem, sequence: int, now: float) -> None:
+        """Adds an item.
+
+        Args:
+            item: The item.
+            sequence: The push's number, which orders equal items.
+            now: The clock reading, in seconds.
+        """
+        key: _Key = (0.0, 0.0, sequence)
+        if self.request_class is RequestClass.TRAINER:
+            # The lot with the least slack first; within a lot the longest
+            # sample first, since it is the one that would end last.
+            key = (now + item.slack, -item.cost, sequence)
+        self.items[item.request_id] = (key, item)
+        self.weight = item.weight
+        self.cost += item.cost
+        heappush(self._heap, (key, item.request_id))
+
+    def peek(self) -> QueueItem:
+        """Gives the item that is served next; the lane must not be empty."""
+        while self._heap[0][1] not in self.items:
+            heappop(self._heap)
+        return self.items[self._heap[0][1]][1]
+
+    def remove(self, request_id: RequestId) -> QueueItem:
+        """Removes an item and gives it back."""
+        _, item = self.items.pop(request_id)
+        self.cost = self.cost - item.cost if self.items else 0.0
+        if not self.items:
+            self._heap.clear()
+        return item
+
+    def find_last(self) -> QueueItem:
+        """Gives the item that would be served last; the lane is not empty."""
+        return max(self.items.values(), key=lambda entry: entry[0])[1]
--- /dev/null
+++ b/buckthornstile/routing/_choice.py
@@ -0,0 +1,239 @@
+"""Power of two choices on predicted wait, with affinity bounded by load."""
+
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
+from enum import Enum
+from random import Random
+
+from buckthornstile.base import (
+    UNKNOWN_VERSION,
+    ErrorCode,
+    FailureDomain,
+    ServiceName,
+    UpstreamId,
+    WeightVersion,
+)
+from buckthornstile.routing._prefixes import PrefixIndex
+from buckthornstile.routing._rendezvous import compute_score
+from buckthornstile.routing._views import UpstreamState, UpstreamView
+
+_DEFAULT_TOKENS_PER_SECOND = 50.0
+_RETRY_SECONDS = 0.5
+_AFFINITY_CANDIDATES = 2
+
+
+class ChoiceReason(Enum):
+    """Why an upstream was chosen, or why none was."""
+
+    LEAST_WAIT = "least_wait"
+    PREFIX_HELD = "prefix_held"
+    PREFIX_RANKED = "prefix_ranked"
+    ONLY_ONE = "only_one"
+    NONE_KNOWN = "none_known"
+    NONE_ALIVE = "none_alive"
+    ALL_DRAINED = "all_drained"
+    ALL_EJECTED = "all_ejected"
+    VERSION_TOO_OLD = "version_too_old"
+
+
+@dataclass(frozen=True, slots=True)
+class RouteRequest:
+    """What the choice depends on.
+
+    Args:
+        service: The service that is asked for.
+        cost: The expected work, in tokens.
+        prefix: A hash of the prompt's beginning or the name of the sample's
+            group; empty for no affinity.
+        minimum_version: The oldest weights that may serve it.
+        excluded: Upstreams that have failed it already.
+
+    Example:
+        >>> RouteRequest("shop-desk").prefix
+        ''
+    """
+
+    service: ServiceName
+    cost: float = 1.0
+    prefix: str = ""
+    minimum_version: WeightVersion = UNKNOWN_VERSION
+    excluded: frozenset[UpstreamId] = frozenset()
+
+
+@dataclass(frozen=True, slots=True)
+class RouteChoice:
+    """The upstream chosen, or the refusal.
+
+    Args:
+        upstream: The upstream, or None for a refusal.
+        reason: Why.
+        code: For a refusal, ``NO_UPSTREAM``.
+        retry_after: For a refusal, seconds after which a retry may succeed.
+
+    Example:
+        >>> RouteChoice(None, ChoiceReason.NONE_ALIVE).upstream is None
+        True
+    """
+
+    upstream: UpstreamId | None
+    reason: ChoiceReason
+    code: ErrorCode | None = None
+    retry_after: float = 0.0
+
+
+def predict_wait(view: UpstreamView, cost: float, now: float) -> float:
+    """Predicts how long a request would take beyond its time on an idle upstream.
+
+    Args:
+        view: The upstream.
+        cost: The request's expected work, in tokens.
+        now: The clock reading, in seconds.
+
+    Returns:
+        The wait, in seconds; only its order matters.
+
+    Example:
+        >>> view = UpstreamView("u1", "s", "d", heartbeat_at=0.0, limit=4)
+        >>> predict_wait(view, 100, 0.0)
+        0.0
+    """
+    speed = view.tokens_per_second or _DEFAULT_TOKENS_PER_SECOND
+    limit = max(view.limit, 1.0)
+    busy = view.compute_busy(now)
+    queued = max(0.0, busy + 1.0 - limit)
+    if view.queued:
+        cost_ahead = view.queued_tokens / view.queued
+    else:
+        cost_ahead = max(cost, 1.0)
+    # Requests that run together share the upstream's speed.
+    slowdown = min(busy / limit, 1.0) * cost / speed
+    return queued * cost_ahead / speed + slowdown
+
+
+def choose_upstream(
+    views: Iterable[UpstreamView],
+    request: RouteRequest,
+    *,
+    now: float,
+    rng: Random,
+    failure_domain: FailureDomain | None = None,
+    is_ejected: Callable[[UpstreamId], bool] | None = None,
+    prefixes: PrefixIndex | None = None,
+    load_factor: float = 1.25,
+    domain_bonus: float = 0.002,
+    heartbeat_timeout: float = 3.0,
+) -> RouteChoice:
+    """Chooses the upstream for a request.
+
+    Args:
+        views: The upstreams that the entry knows.
+        request: What the choice depends on.
+        now: The clock reading, in seconds.
+        rng: The source of the random pair.
+        failure_domain: The entry's own, preferred slightly.
+        is_ejected: Tells whether an upstream is ejected; None for never.
+        prefixes: Hints on which upstream holds which prefix.
+        load_factor: Multiple of the mean load up to which affinity holds.
+        domain_bonus: Seconds by which an own-domain upstream may be slower.
+        heartbeat_timeout: Seconds without heartbeat that count as dead.
+
+    Returns:
+        The choice, or a refusal with code and retry hint.
+
+    Example:
+        >>> view = UpstreamView("u1", "s", "d", heartbeat_at=0.0)
+        >>> choose_upstream([view], RouteRequest("s"), now=0.1, rng=Random(1)).upstream
+        'u1'
+    """
+    eligible, refusal = _find_eligible(
+        views, request, now, heartbeat_timeout, is_ejected
+    )
+    if not eligible:
+        return RouteChoice(None, refusal, ErrorCode.NO_UPSTREAM, _RETRY_SECONDS)
+    if len(eligible) == 1:
+        return RouteChoice(eligible[0].upstream, ChoiceReason.ONLY_ONE)
+    if request.prefix:
+        choice = _choose_by_prefix(eligible, request, now, prefixes, load_factor)
+        if choice is not None:
+            return choice
+    first, second = rng.sample(eligible, 2)
+
+    def cost_of(view: UpstreamView) -> float:
+        wait = predict_wait(view, request.cost, now)
+        return wait - (domain_bonus if view.failure_domain == failure_domain else 0.0)
+
+    best = first if cost_of(first) <= cost_of(second) else second
+    return RouteChoice(best.upstream, ChoiceReason.LEAST_WAIT)
+
+
+def _find_eligible(
+    views: Iterable[UpstreamView],
+    request: RouteRequest,
+    now: float,
+    heartbeat_timeout: float,
+    is_ejected: Callable[[UpstreamId], bool] | None,
+) -> tuple[list[UpstreamView], ChoiceReason]:
+    """Filters step by step, so that a refusal names the step that took the last."""
+    left = [view for view in views if view.service == request.service]
+    if not left:
+        return [], ChoiceReason.NONE_KNOWN
+    left = [view for view in left if view.is_alive(now, timeout=heartbeat_timeout)]
+    if not left:
+        return [], ChoiceReason.NONE_ALIVE
+    left = [
+        view
+        for view in left
+        if not view.drained
+        and not view.leaving
+        and view.state is not UpstreamState.DRAINING
+    ]
+    if not left:
+        return [], ChoiceReason.ALL_DRAINED
+    left = [view for view in left if view.version >= request.minimum_version]
+    if not left:
+        return [], ChoiceReason.VERSION_TOO_OLD
+    left = [
+        view
+        for view in left
+        if view.upstream not in request.excluded
+        and not (is_ejected is not None and is_ejected(view.upstream))
+    ]
+    ready = [view for view in left if view.state is UpstreamState.SERVING]
+    # An upstream that loads weights takes work into its agent's queue, which is
+    # better than a refusal but worse than any other upstream.
+    return ready or left, ChoiceReason.ALL_EJECTED
+
+
+def _choose_by_prefix(
+    eligible: Sequence[UpstreamView],
+    request: RouteRequest,
+    now: float,
+    prefixes: PrefixIndex | None,
+    load_factor: float,
+) -> RouteChoice | None:
+    busy = {view.upstream: view.compute_busy(now) for view in eligible}
+    total_limit = sum(max(view.limit, 1.0) for view in eligible)
+    mean_load = (sum(busy.values()) + 1.0) / total_limit
+
+    def has_room(view: UpstreamView) -> bool:
+        bound = load_factor * mean_load * max(view.limit, 1.0)
+        return busy[view.upstream] + 1.0 <= max(bound, 1.0)
+
+    if prefixes is not None:
+        holders = [
+            view
+            for view in eligible
+            if prefixes.holds(view.upstream, request.prefix) and has_room(view)
+        ]
+        if holders:
+            best = min(holders, key=lambda view: predict_wait(view, request.cost, now))
+            return RouteChoice(best.upstream, ChoiceReason.PREFIX_HELD)
+    ranked = sorted(
+        eligible,
+        key=lambda view: compute_score(request.prefix, view.upstream),
+        reverse=True,
+    )
+    for view in ranked[:_AFFINITY_CANDIDATES]:
+        if has_room(view):
+            return RouteChoice(view.upstream, ChoiceReason.PREFIX_RANKED)
+    return None
