--- a/buckthornstile/records/_records.py
+++ b/buckthornstile/records/_records.py
@@ -39,6 +39,8 @@
         follows: The term that the claimer believes to be over; the fold
             rejects the claim if another term came between.
         duration: How long the lease lasts without renewal, in seconds.
+        follows_sequence: The last renewal of that term that the claimer has
+            read; the fold rejects the claim if a later one came between.
 
     Example:
         >>> LeaseClaim(holder="e1", incarnation="i", follows=-1, duration=6).kind
@@ -50,6 +52,7 @@
     incarnation: Incarnation
     follows: Term
     duration: float = Field(gt=0, le=3600)
+    follows_sequence: int = 0
 
 
 class LeaseRenewal(_Record):
