--- /dev/null
+++ b/buckthornstile/upstreams/_http.py
@@ -0,0 +1,205 @@
+"""What engines and services share: calls over HTTP."""
+
+import asyncio
+from collections.abc import AsyncGenerator
+from typing import NoReturn
+from urllib.parse import urlsplit
+
+from tornado.httputil import HTTPHeaders
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.tcpclient import TCPClient
+
+from buckthornstile.base import (
+    BuckthornstileError,
+    ErrorCode,
+    RequestId,
+    Verdict,
+)
+from buckthornstile.ports import AnswerEnd, AnswerHead, AnswerPart, UpstreamCall
+from buckthornstile.upstreams._exchange import (
+    REQUEST_ID_HEADER,
+    AnswerLost,
+    Exchange,
+)
+
+MAX_ANSWER_BYTES = 64 << 20
+MAX_IDLE_CONNECTIONS = 32
+DEFAULT_PORT = 80
+
+
+class HttpUpstream:
+    """An upstream behind HTTP/1.1.
+
+    A request is written once. No failure makes the client write it again, not
+    even on a connection that proves dead.
+
+    Args:
+        base_url: Where the upstream listens, as ``http://IP:port``.
+        connect_timeout: Seconds for a connection to stand.
+        max_answer_bytes: The longest answer that is read.
+        max_idle_connections: Connections kept for later calls; 0 for none.
+
+    Example:
+        >>> HttpUpstream("http://127.0.0.1:9000").connect_timeout
+        1.0
+    """
+
+    def __init__(
+        self,
+        base_url: str,
+        *,
+        connect_timeout: float = 1.0,
+        max_answer_bytes: int = MAX_ANSWER_BYTES,
+        max_idle_connections: int = MAX_IDLE_CONNECTIONS,
+    ) -> None:
+        self.base_url = base_url
+        self.connect_timeout = connect_timeout
+        self.max_answer_bytes = max_answer_bytes
+        self.max_idle_connections = max_idle_connections
+        self._connector = TCPClient()
+        self._idle: list[IOStream] = []
+        self._open: dict[RequestId, Exchange] = {}
+
+    async def call(
+        self, call: UpstreamCall
+    ) -> AsyncGenerator[AnswerHead | AnswerPart | AnswerEnd, None]:
+        """Makes a call and yields its answer as it comes.
+
+        A caller that stops early must close the generator; that closes the
+        connection.
+
+        Args:
+            call: The call.
+
+        Yields:
+            One head, any parts, and one end if the upstream declared it.
+
+        Raises:
+            BuckthornstileError: With ``verdict`` NOT_RUN only if no byte of
+                the request left for the upstream.
+        """
+        deadline = asyncio.get_running_loop().time() + call.timeout
+        stream = await self._connect(min(self.connect_timeout, call.timeout))
+        exchange = Exchange(stream, call, max_answer_bytes=self.max_answer_bytes)
+        self._open[call.request_id] = exchange
+        try:
+            self._start(exchange)
+            while True:
+                event = await _read_event(exchange, deadline)
+                if isinstance(event, AnswerLost):
+                    _raise_lost(exchange, event)
+                if isinstance(event, AnswerHead):
+                    _check_echo(call, event)
+                yield event
+                if isinstance(event, AnswerEnd):
+                    return
+        finally:
+            if self._open.get(call.request_id) is exchange:
+                del self._open[call.request_id]
+            await exchange.close()
+            if exchange.reusable:
+                self._keep(stream)
+
+    async def cancel(self, request_id: RequestId) -> None:
+        """Closes the connection of a call; its reader gets ``CANCELLED``.
+
+        Args:
+            request_id: The call's id; one that is not open is passed over.
+        """
+        exchange = self._open.get(request_id)
+        if exchange is not None:
+            exchange.cancel()
+
+    async def close(self) -> None:
+        """Closes idle connections."""
+        while self._idle:
+            self._idle.pop().close()
+
+    async def _connect(self, timeout: float) -> IOStream:
+        while self._idle:
+            stream = self._idle.pop()
+            if not stream.closed():
+                stream.set_close_callback(None)
+                return stream
+        parts = urlsplit(self.base_url)
+        try:
+            return await self._connector.connect(
+                parts.hostname or "", parts.port or DEFAULT_PORT, timeout=timeout
+            )
+        except (OSError, StreamClosedError, TimeoutError) as error:
+            raise BuckthornstileError(
+                ErrorCode.UPSTREAM_FAILED,
+                "no connection to the upstream",
+                verdict=Verdict.NOT_RUN,
+            ) from error
+
+    def _start(self, exchange: Exchange) -> None:
+        call = exchange.call
+        headers = HTTPHeaders(
+            {
+                "Host": urlsplit(self.base_url).netloc,
+                "X-Priority": str(call.priority),
+                "Content-Length": str(len(call.body)),
+            }
+        )
+        if call.request_id:
+            headers[REQUEST_ID_HEADER] = call.request_id
+        if call.content_type:
+            headers["Content-Type"] = call.content_type
+        if call.stream:
+            headers["Accept"] = "text/event-stream"
+        try:
+            exchange.start(headers)
+        except ValueError as error:
+            raise BuckthornstileError(
+                ErrorCode.HEADER_INVALID,
+                "the path or a header holds a line break",
+                verdict=Verdict.NOT_RUN,
+            ) from error
+
+    def _keep(self, stream: IOStream) -> None:
+        if stream.closed():
+            return
+        if len(self._idle) >= self.max_idle_connections:
+            stream.close()
+            return
+        # A close callback makes the stream notice that its peer closed it.
+        stream.set_close_callback(lambda: self._forget(stream))
+        self._idle.append(stream)
+
+    def _forget(self, stream: IOStream) -> None:
+        if stream in self._idle:
+            self._idle.remove(stream)
+
+
+async def _read_event(
+    exchange: Exchange, deadline: float
+) -> AnswerHead | AnswerPart | AnswerEnd | AnswerLost:
+    try:
+        async with asyncio.timeout_at(deadline):
+            return await exchange.read_event()
+    except TimeoutError as error:
+        raise BuckthornstileError(
+            ErrorCode.DEADLINE_PASSED,
+            "the upstream's answer did not end in time",
+            verdict=Verdict.MAY_HAVE_RUN,
+        ) from error
+
+
+def _check_echo(call: UpstreamCall, head: AnswerHead) -> None:
+    if head.request_id != call.request_id:
+        raise BuckthornstileError(
+            ErrorCode.ANSWER_CROSSED,
+            "the upstream answered another request",
+            verdict=Verdict.MAY_HAVE_RUN,
+        )
+
+
+def _raise_lost(exchange: Exchange, lost: AnswerLost) -> NoReturn:
+    if exchange.cancelled:
+        code, message = ErrorCode.CANCELLED, "the call was cancelled"
+    elif lost.head_seen:
+        code, message = ErrorCode.ANSWER_TRUNCATED, "the answer ended early"
+    else:
+        code, message = ErrorCode.UPSTREAM_FAILED, "the upstream gave no answer"
+    raise BuckthornstileError(code, message, verdict=Verdict.MAY_HAVE_RUN)
--- /dev/null
+++ b/standins/launch.py
@@ -0,0 +1,232 @@
+"""Starts stand-ins and daemons as processes, for tests and the demo."""
+
+import json
+import os
+import select
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, Self
+from urllib.request import Request, urlopen
+
+START_TIMEOUT = 20.0  # seconds
+STOP_TIMEOUT = 10.0  # seconds
+CALL_TIMEOUT = 10.0  # seconds
+MAX_READY_BYTES = 65536
+
+
+@dataclass(slots=True)
+class BenchProcess:
+    """One process of the bench.
+
+    Args:
+        name: Its name on the bench.
+        process: The operating system's process.
+        ready: The JSON line that it printed at its start.
+        log_path: Where its error output goes.
+        address: The IP number that it listens on.
+    """
+
+    name: str
+    process: "subprocess.Popen[bytes]"
+    ready: dict[str, Any]
+    log_path: Path
+    address: str = "127.0.0.1"
+
+    @property
+    def port(self) -> int:
+        """The port that it listens on."""
+        return self.ready["port"]
+
+    @property
+    def url(self) -> str:
+        """Where it listens."""
+        return f"http://{self.address}:{self.port}"
+
+    @property
+    def is_running(self) -> bool:
+        """Whether it has not ended."""
+        return self.process.poll() is None
+
+    def send_signal(self, number: int) -> None:
+        """Sends it a signal."""
+        self.process.send_signal(number)
+
+    def pause(self) -> None:
+        """Suspends it."""
+        self.send_signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Lets it go on."""
+        self.send_signal(signal.SIGCONT)
+
+    def kill(self) -> None:
+        """Kills it at once."""
+        self.process.kill()
+        self.process.wait()
+
+    def stop(self, *, timeout: float = STOP_TIMEOUT) -> int:
+        """Asks it to end, kills it after a while, and gives its exit status."""
+        if self.is_running:
+            self.send_signal(signal.SIGCONT)
+            self.send_signal(signal.SIGTERM)
+        try:
+            return self.process.wait(timeout)
+        except subprocess.TimeoutExpired:
+            self.process.kill()
+            return self.process.wait()
+
+    def call(self, method: str, path: str, body: Any = None) -> Any:
+        """Makes a JSON call to it, such as to its control routes."""
+        data = None if body is None else json.dumps(body).encode()
+        request = Request(self.url + path, data=data, method=method)
+        with urlopen(request, timeout=CALL_TIMEOUT) as answer:  # noqa: S310
+            return json.loads(answer.read() or b"null")
+
+    def add_fault(self, kind: str, **fields: Any) -> None:
+        """Switches on a fault of a stand-in."""
+        self.call("POST", "/control/faults", {"kind": kind, **fields})
+
+    def clear_faults(self) -> None:
+        """Switches off a stand-in's faults."""
+        self.call("DELETE", "/control/faults")
+
+    def read_journal(self, what: str = "") -> list[dict[str, Any]]:
+        """Reads a stand-in's journal, or its entries of one kind."""
+        entries = self.call("GET", "/control/journal")["entries"]
+        return [entry for entry in entries if what in ("", entry["what"])]
+
+    def read_log(self) -> str:
+        """Reads its error output."""
+        return self.log_path.read_text(errors="replace")
+
+
+class Bench:
+    """Starts processes and ends all that it started.
+
+    Args:
+        environment: Variables to set besides those of this process.
+
+    Example:
+        >>> with Bench() as bench:
+        ...     service = bench.start("standins.service")
+        ...     service.call("GET", "/stock")["path"]
+        '/stock'
+    """
+
+    def __init__(self, *, environment: dict[str, str] | None = None) -> None:
+        self.environment = environment
+        self.processes: list[BenchProcess] = []
+
+    def __enter__(self) -> Self:
+        self._folder = tempfile.TemporaryDirectory(prefix="bench-")
+        self.folder = Path(self._folder.name)
+        return self
+
+    def __exit__(self, *exception: object) -> None:
+        self.stop_all()
+        self._folder.cleanup()
+
+    def start(
+        self,
+        module: str,
+        *arguments: str,
+        name: str = "",
+        address: str = "127.0.0.1",
+        timeout: float = START_TIMEOUT,
+        **flags: Any,
+    ) -> BenchProcess:
+        """Starts ``python -m module`` and waits until it is ready.
+
+        Args:
+            module: The module, such as ``standins.platform``.
+            arguments: Words before the flags, such as ``entry``.
+            name: A name for its log; the module and a number by default.
+            address: The IP number to listen on, passed as ``--address``.
+            timeout: Seconds to wait for the line that says it is ready.
+            flags: Flags; underscores become hyphens, True gives a bare flag.
+
+        Returns:
+            The process.
+
+        Raises:
+            RuntimeError: It ended or was not ready in time.
+        """
+        name = name or f"{module}-{len(self.processes)}"
+        log_path = self.folder / f"{name.replace('/', '_')}.log"
+        command = [sys.executable, "-m", module, *arguments]
+        command += make_flags({"address": address, **flags})
+        with log_path.open("wb") as log:
+            process = subprocess.Popen(
+                command,
+                stdout=subprocess.PIPE,
+                stderr=log,
+                stdin=subprocess.DEVNULL,
+                env={**os.environ, **(self.environment or {})},
+            )
+        started = BenchProcess(name, process, {}, log_path, address)
+        self.processes.append(started)
+        started.ready = self._read_ready(started, timeout)
+        return started
+
+    def stop_all(self) -> None:
+        """Asks all to end at once, then waits for each."""
+        for process in self.processes:
+            if process.is_running:
+                process.send_signal(signal.SIGCONT)
+                process.send_signal(signal.SIGTERM)
+        for process in self.processes:
+            process.stop()
+            if process.process.stdout is not None:
+                process.process.stdout.close()
+        self.processes.clear()
+
+    def _read_ready(self, started: BenchProcess, timeout: float) -> dict[str, Any]:
+        line = _read_line(started.process, timeout)
+        try:
+            ready = json.loads(line)
+        except ValueError:
+            ready = None
+        if isinstance(ready, dict) and "port" in ready:
+            return ready
+        started.kill()
+        raise RuntimeError(
+            f"{started.name} was not ready; it printed {line!r} and logged:\n"
+            f"{started.read_log()}"
+        )
+
+
+def _read_line(process: "subprocess.Popen[bytes]", timeout: float) -> bytes:
+    assert process.stdout is not None
+    descriptor = process.stdout.fileno()
+    deadline = time.monotonic() + timeout
+    line = b""
+    while not line.endswith(b"\n") and len(line) < MAX_READY_BYTES:
+        left = deadline - time.monotonic()
+        if left <= 0 or not select.select([descriptor], [], [], left)[0]:
+            break
+        byte = os.read(descriptor, 1)
+        if not byte:
+            break
+        line += byte
+    return line
+
+
+def make_flags(flags: dict[str, Any]) -> list[str]:
+    """Makes command-line words from flags; False and None leave a flag out.
+
+    Example:
+        >>> make_flags({"token_seconds": 0.1, "ignore_old_terms": True})
+        ['--token-seconds=0.1', '--ignore-old-terms']
+    """
+    words = []
+    for key, value in flags.items():
+        if value is None or value is False:
+            continue
+        flag = f"--{key.replace('_', '-')}"
+        words.append(flag if value is True else f"{flag}={value}")
+    return words
