--- /dev/null
+++ b/buckthornstile/scaling/__init__.py
@@ -0,0 +1,25 @@
+"""When and where to start and stop upstreams."""
+
+from buckthornstile.scaling._plan import (
+    DomainSupply,
+    ScaleAction,
+    ScaleMemory,
+    ScalePlan,
+    ScalePolicy,
+    ScaleWish,
+    ServiceLoad,
+    compute_need,
+    plan_scale,
+)
+
+__all__ = [
+    "DomainSupply",
+    "ScaleAction",
+    "ScaleMemory",
+    "ScalePlan",
+    "ScalePolicy",
+    "ScaleWish",
+    "ServiceLoad",
+    "compute_need",
+    "plan_scale",
+]
