--- /dev/null
+++ b/buckthornstile/agent/_scheduler.py
@@ -0,0 +1,385 @@
+"""Queues requests, starts as many as the limit allows, and ends each one once."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from buckthornstile.agent._admission import AgentCondition, check_request
+from buckthornstile.agent._calls import CallResult, UpstreamCaller
+from buckthornstile.agent._relay import ChunkRelay, FlushTimer
+from buckthornstile.agent._requests import AgentRequest
+from buckthornstile.base import (
+    BuckthornstileError,
+    ErrorCode,
+    Incarnation,
+    RequestId,
+    Verdict,
+    split_request_id,
+)
+from buckthornstile.configuration import Configuration
+from buckthornstile.guard import GuardAction, KeptAnswer, RequestTable, make_call_name
+from buckthornstile.limits import ConcurrencyLimit
+from buckthornstile.queueing import FairQueue, QueueItem
+from buckthornstile.records import UsageLine
+from buckthornstile.samples import FinishedSamples
+from buckthornstile.usage import UsageLedger
+from buckthornstile.wire import (
+    Connection,
+    Dispatch,
+    End,
+    FinishedSample,
+    Started,
+    make_digest,
+)
+
+SERVER_ERROR_STATUS = 500
+SPEED_SHARE = 0.1
+
+
+@dataclass(slots=True)
+class SchedulerCounters:
+    """What became of requests at this agent."""
+
+    arrived: int = 0
+    started: int = 0
+    finished: int = 0
+    failed: int = 0
+    refused: int = 0
+    replayed: int = 0
+    cancelled: int = 0
+    held_after_pause: int = 0
+
+
+class Scheduler:
+    """Runs requests at one upstream.
+
+    Args:
+        caller: Makes upstream calls.
+        table: The at-most-once guard.
+        queue: The fair queue.
+        limit: The concurrency limit.
+        finished: Finished samples until acknowledged.
+        ledger: Usage until the log holds it.
+        get_condition: Gives the agent's condition now.
+        read_clock: Gives the time, in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        caller: UpstreamCaller,
+        table: RequestTable,
+        queue: FairQueue,
+        limit: ConcurrencyLimit,
+        finished: FinishedSamples,
+        ledger: UsageLedger,
+        get_condition: Callable[[], AgentCondition],
+        read_clock: Callable[[], float],
+    ) -> None:
+        self.caller = caller
+        self.table = table
+        self.queue = queue
+        self.limit = limit
+        self.finished = finished
+        self.ledger = ledger
+        self.get_condition = get_condition
+        self.read_clock = read_clock
+        self.counters = SchedulerCounters()
+        self.tokens_per_second = 0.0
+        self._open: dict[RequestId, AgentRequest] = {}
+        self._running: set[RequestId] = set()
+        self._held_until = float("-inf")
+
+    @property
+    def running_count(self) -> int:
+        """Requests at the upstream now."""
+        return len(self._running)
+
+    @property
+    def open_count(self) -> int:
+        """Requests that wait or run."""
+        return len(self._open)
+
+    # Arrival
+
+    def accept(self, dispatch: Dispatch, connection: Connection) -> None:
+        """Takes in a request; every request gets exactly one end.
+
+        Args:
+            dispatch: The request.
+            connection: Where its answer goes.
+        """
+        now = self.read_clock()
+        self.counters.arrived += 1
+        request = AgentRequest(dispatch, connection, now, now + dispatch.timeout)
+        try:
+            self._admit(request, now)
+        except BuckthornstileError as error:
+            self.counters.refused += 1
+            request.reply(make_failure(dispatch.request_id, error))
+            return
+        self.pump()
+
+    def _admit(self, request: AgentRequest, now: float) -> None:
+        dispatch = request.dispatch
+        check_request(dispatch, self.get_condition())
+        if request.is_sample:
+            self.finished.check_attach(dispatch.lot, dispatch.attach)
+        # A queue that sheds must not leave a mark of the request it refuses, so
+        # the guard comes first and is told of the refusal.
+        decision = self.table.admit(dispatch, now)
+        if decision.action is GuardAction.REPLAY:
+            assert decision.answer is not None
+            self._replay(request, decision.answer)
+            return
+        result = self.queue.push(request.make_queue_item(), now)
+        for item in result.shed:
+            self._refuse_waiting(item, ErrorCode.QUEUE_FULL, "shed for other accounts")
+        if not result.accepted:
+            self.table.seal(dispatch.request_id, now)
+            raise BuckthornstileError(
+                result.code or ErrorCode.QUEUE_FULL,
+                "the upstream's queue is full",
+                retry_after=self._estimate_wait(),
+            )
+        self._open[dispatch.request_id] = request
+
+    def _estimate_wait(self) -> float:
+        if self.tokens_per_second <= 0:
+            return 1.0
+        return min(self.queue.queued_cost / self.tokens_per_second, 30.0)
+
+    def _replay(self, request: AgentRequest, answer: KeptAnswer) -> None:
+        self.counters.replayed += 1
+        dispatch = request.dispatch
+        request.reply(Started(dispatch.request_id, answer.status, answer.content_type))
+        relay = ChunkRelay(request, FlushTimer())
+        relay.add(answer.body)
+        request.reply(
+            End(
+                dispatch.request_id,
+                Verdict.RAN,
+                length=relay.length,
+                digest=relay.digest,
+                labels=answer.labels,
+            )
+        )
+
+    # Start
+
+    def hold(self, seconds: float) -> None:
+        """Starts nothing for a while, after this process was paused.
+
+        What peers sent meanwhile, such as a drain, must be read first.
+        """
+        self.counters.held_after_pause += 1
+        self._held_until = self.read_clock() + seconds
+        asyncio.get_running_loop().call_later(seconds, self.pump)
+
+    def pump(self) -> None:
+        """Starts waiting requests as far as the limit allows."""
+        now = self.read_clock()
+        if now < self._held_until:
+            return
+        while self.limit.may_start(len(self._running)):
+            item = self.queue.pop(now)
+            if item is None:
+                break
+            self._start(item, now)
+        for expired in self.queue.take_expired():
+            self._refuse_waiting(
+                expired, ErrorCode.DEADLINE_PASSED, "the deadline passed in the queue"
+            )
+
+    def _start(self, item: QueueItem, now: float) -> None:
+        request = self._open[item.request_id]
+        dispatch = request.dispatch
+        incarnation, counter = split_request_id(dispatch.request_id)
+        try:
+            check_request(dispatch, self.get_condition())
+            if request.is_sample:
+                self.finished.check_attach(dispatch.lot, dispatch.attach)
+            self.ledger.open(incarnation, counter)
+        except BuckthornstileError as error:
+            self._refuse_waiting(item, error.code, error.message)
+            return
+        if not self.table.start(item.request_id, now):
+            self._open.pop(item.request_id)
+            return
+        self.limit.on_start()
+        self._running.add(item.request_id)
+        self.counters.started += 1
+        request.task = asyncio.create_task(self._run(request))
+
+    async def _run(self, request: AgentRequest) -> None:
+        request_id = request.dispatch.request_id
+        started_at = self.read_clock()
+        try:
+            result = await self.caller.call(request, started_at)
+        except BuckthornstileError as error:
+            self._fail(request, error)
+        except asyncio.CancelledError:
+            self._fail(request, request.stop_error or _make_cancelled())
+        else:
+            self._finish(request, result, started_at)
+        finally:
+            self._running.discard(request_id)
+            self._open.pop(request_id, None)
+        self.pump()
+
+    # End
+
+    def _finish(
+        self, request: AgentRequest, result: CallResult, started_at: float
+    ) -> None:
+        now = self.read_clock()
+        dispatch = request.dispatch
+        answer = result.answer
+        self.counters.finished += 1
+        keep = answer if make_call_name(dispatch) is not None else None
+        self.table.finish(dispatch.request_id, now, keep)
+        self._count_usage(dispatch, answer)
+        self.queue.charge(dispatch.request_id, float(answer.generated_tokens or 1))
+        self._note_speed(answer.generated_tokens, now - started_at)
+        self.limit.on_first_token(now - started_at, now)
+        self.limit.on_finish(answer.status < SERVER_ERROR_STATUS, now)
+        end = End(
+            dispatch.request_id,
+            Verdict.RAN,
+            length=result.length,
+            digest=result.digest,
+            labels=answer.labels,
+            prompt_tokens=answer.prompt_tokens,
+            generated_tokens=answer.generated_tokens,
+        )
+        if request.is_sample:
+            self._keep_sample(dispatch, answer, now)
+        request.reply(end)
+
+    def _keep_sample(self, dispatch: Dispatch, answer: KeptAnswer, now: float) -> None:
+        digest = make_digest()
+        digest.update(answer.body)
+        sample = FinishedSample(
+            dispatch.request_id,
+            dispatch.lot,
+            dispatch.slot_group,
+            dispatch.slot_index,
+            answer.body,
+            digest.digest(),
+            answer.labels,
+            answer.prompt_tokens,
+            answer.generated_tokens,
+        )
+        self.finished.add(sample, now=now, minimum_version=dispatch.minimum_version)
+
+    def _count_usage(self, dispatch: Dispatch, answer: KeptAnswer) -> None:
+        incarnation, counter = split_request_id(dispatch.request_id)
+        line = UsageLine(
+            account=dispatch.account,
+            service=dispatch.service,
+            request_class=dispatch.request_class,
+            requests=1,
+            prompt_tokens=answer.prompt_tokens,
+            generated_tokens=answer.generated_tokens,
+        )
+        self.ledger.finish(incarnation, counter, line)
+
+    def _fail(self, request: AgentRequest, error: BuckthornstileError) -> None:
+        now = self.read_clock()
+        dispatch = request.dispatch
+        self.counters.failed += 1
+        self.table.fail(dispatch.request_id, error.verdict, now)
+        incarnation, counter = split_request_id(dispatch.request_id)
+        self.ledger.finish(incarnation, counter, None)
+        self.limit.on_finish(error.code is ErrorCode.CANCELLED, now)
+        request.reply(make_failure(dispatch.request_id, error))
+
+    def _note_speed(self, tokens: int, seconds: float) -> None:
+        speed = max(tokens, 1) / max(seconds, 1e-6) * max(len(self._running), 1)
+        if self.tokens_per_second <= 0:
+            self.tokens_per_second = speed
+        self.tokens_per_second += SPEED_SHARE * (speed - self.tokens_per_second)
+
+    def _refuse_waiting(self, item: QueueItem, code: ErrorCode, message: str) -> None:
+        request = self._open.pop(item.request_id)
+        self.table.seal(item.request_id, self.read_clock())
+        self.counters.refused += 1
+        error = BuckthornstileError(code, message, retry_after=self._estimate_wait())
+        request.reply(make_failure(item.request_id, error))
+
+    # Withdrawal and loss
+
+    def cancel(self, request_id: RequestId, error: BuckthornstileError) -> None:
+        """Gives a request up, whether it waits or runs.
+
+        Args:
+            request_id: The request; an unknown one is passed over.
+            error: Why.
+        """
+        request = self._open.get(request_id)
+        if request is None:
+            return
+        self.counters.cancelled += 1
+        item = self.queue.remove(request_id)
+        if item is not None:
+            self._refuse_waiting(item, error.code, error.message)
+            return
+        if request.task is not None and request.stop_error is None:
+            error.verdict = Verdict.MAY_HAVE_RUN
+            request.stop_error = error
+            request.task.cancel()
+
+    def on_connection_lost(self, connection: Connection) -> None:
+        """Drops what only the lost entry wanted; the rest runs to its end."""
+        lost = [r for r in self._open.values() if r.connection is connection]
+        for request in lost:
+            request.connection = None
+            waits = request.task is None
+            if waits or not request.outlives_connection:
+                self.cancel(request.dispatch.request_id, _make_cancelled())
+
+    def on_configuration(self, configuration: Configuration) -> None:
+        """Ends open requests whose key has been withdrawn."""
+        for request in list(self._open.values()):
+            key = configuration.keys.get(request.dispatch.key_id)
+            if key is not None and key.withdrawn:
+                self.cancel(
+                    request.dispatch.request_id,
+                    BuckthornstileError(
+                        ErrorCode.KEY_WITHDRAWN, "the key was withdrawn"
+                    ),
+                )
+
+    def list_entries(self) -> Iterable[Incarnation]:
+        """Lists the incarnations of the entries with open requests."""
+        return {split_request_id(request_id)[0] for request_id in self._open}
+
+
+def make_failure(request_id: RequestId, error: BuckthornstileError) -> End:
+    """Makes the end of a request that failed.
+
+    Args:
+        request_id: The request.
+        error: Why.
+
+    Returns:
+        The message for the entry.
+
+    Example:
+        >>> error = BuckthornstileError(ErrorCode.DRAINING, "no new work")
+        >>> make_failure(RequestId("e/1"), error).verdict
+        <Verdict.NOT_RUN: 'not_run'>
+    """
+    return End(
+        request_id,
+        error.verdict,
+        error.code,
+        error.message,
+        retry_after=error.retry_after or 0.0,
+    )
+
+
+def _make_cancelled() -> BuckthornstileError:
+    return BuckthornstileError(
+        ErrorCode.CANCELLED, "the request was given up", verdict=Verdict.MAY_HAVE_RUN
+    )
