--- /dev/null
+++ b/buckthornstile/metrics/_series.py
@@ -0,0 +1,123 @@
+"""Counters and gauges with a bounded number of series a name."""
+
+import re
+from typing import NewType
+
+CounterName = NewType("CounterName", str)
+"""A counter's name, lower case with underscores and without a unit suffix."""
+
+GaugeName = NewType("GaugeName", str)
+"""A gauge's name, lower case with underscores."""
+
+Labels = tuple[tuple[str, str], ...]
+
+MAX_SERIES_PER_NAME = 256
+OVERFLOW_LABELS: Labels = (("series", "other"),)
+NAME_PATTERN = re.compile(r"[a-z][a-z0-9_]{0,79}")
+
+
+class _SeriesTable:
+    def __init__(self) -> None:
+        self._series: dict[str, dict[Labels, float]] = {}
+
+    def _find(self, name: str, labels: dict[str, str]) -> dict[Labels, float]:
+        by_labels = self._series.get(name)
+        if by_labels is None:
+            for text in (name, *labels):
+                if not NAME_PATTERN.fullmatch(text):
+                    raise ValueError(
+                        f"metric or label name is {text!r}; it must be lower case "
+                        "letters, digits and underscores"
+                    )
+            by_labels = self._series[name] = {}
+        return by_labels
+
+    def _bound(self, by_labels: dict[Labels, float], labels: Labels) -> Labels:
+        # Label values may come from outside; their number must not grow for ever.
+        if labels in by_labels or len(by_labels) < MAX_SERIES_PER_NAME:
+            return labels
+        return OVERFLOW_LABELS
+
+    def items(self) -> dict[str, dict[Labels, float]]:
+        """Gives all values, by name and labels."""
+        return {name: dict(values) for name, values in sorted(self._series.items())}
+
+
+class Counters(_SeriesTable):
+    """Numbers that only grow.
+
+    Example:
+        >>> counters = Counters()
+        >>> counters.increment(CounterName("refusals"), code="load.queue_full")
+        >>> counters.get(CounterName("refusals"), code="load.queue_full")
+        1
+    """
+
+    def increment(self, name: CounterName, amount: float = 1, **labels: str) -> None:
+        """Adds to a counter.
+
+        Args:
+            name: The counter's name.
+            amount: What to add; not negative.
+            **labels: Label names and values.
+
+        Raises:
+            ValueError: The name or a label's name is malformed.
+
+        Example:
+            >>> Counters().increment(CounterName("heartbeats"))
+        """
+        by_labels = self._find(name, labels)
+        key = self._bound(by_labels, tuple(sorted(labels.items())))
+        by_labels[key] = by_labels.get(key, 0) + amount
+
+    def get(self, name: CounterName, **labels: str) -> float:
+        """Gives a counter's value; 0 if it was never incremented.
+
+        Example:
+            >>> Counters().get(CounterName("heartbeats"))
+            0
+        """
+        return self._series.get(name, {}).get(tuple(sorted(labels.items())), 0)
+
+    def total(self, name: CounterName) -> float:
+        """Adds up a counter over all labels.
+
+        Example:
+            >>> Counters().total(CounterName("heartbeats"))
+            0
+        """
+        return sum(self._series.get(name, {}).values())
+
+
+class Gauges(_SeriesTable):
+    """Numbers that rise and fall.
+
+    Example:
+        >>> gauges = Gauges()
+        >>> gauges.set(GaugeName("open_requests"), 3)
+        >>> gauges.items()
+        {'open_requests': {(): 3}}
+    """
+
+    def set(self, name: GaugeName, value: float, **labels: str) -> None:
+        """Sets a gauge.
+
+        Args:
+            name: The gauge's name.
+            value: Its new value.
+            **labels: Label names and values.
+
+        Example:
+            >>> Gauges().set(GaugeName("limit"), 4.0, upstream="engine-1")
+        """
+        by_labels = self._find(name, labels)
+        by_labels[self._bound(by_labels, tuple(sorted(labels.items())))] = value
+
+    def remove(self, name: GaugeName, **labels: str) -> None:
+        """Removes a gauge whose subject is gone.
+
+        Example:
+            >>> Gauges().remove(GaugeName("limit"), upstream="engine-1")
+        """
+        self._series.get(name, {}).pop(tuple(sorted(labels.items())), None)
