--- /dev/null
+++ b/buckthornstile/configuration/tests/test_withdrawal.py
@@ -0,0 +1,135 @@
+"""Steps of ``withdrawal.feature``."""
+
+import random
+
+import pytest
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from buckthornstile.base import ErrorCode
+from buckthornstile.configuration import ConfigurationFold, hash_key, make_key
+from buckthornstile.configuration.tests.logs import make_change
+from buckthornstile.records import (
+    Account,
+    Drain,
+    ItemName,
+    Key,
+    OpenRoute,
+    Rule,
+)
+
+scenarios("withdrawal.feature")
+
+
+class World:
+    def __init__(self):
+        self.reader = ConfigurationFold()
+        self.new_key = make_key("mill-7", token_bytes=random.Random(7).randbytes)
+        self.offset = -1
+        self.outcome = None
+        self.before = None
+
+    def apply(self, *items, remove=(), change_id=None):
+        self.offset += 1
+        self.before = self.reader.current
+        change = make_change(
+            change_id or f"c{self.offset}", self.before.revision, *items, remove=remove
+        )
+        self.outcome = self.reader.apply(self.offset, change)
+
+
+@pytest.fixture
+def world():
+    return World()
+
+
+@given('client account "mill-7" has a key')
+def _(world):
+    accounts = (Account(name="mill-7"), Account(name="mill-8"))
+    world.apply(*accounts, world.new_key.item)
+    assert world.outcome.accepted
+    found = world.reader.current.find_key(hash_key(world.new_key.clear))
+    assert not found.withdrawn
+
+
+@when("operators withdraw the key")
+def _(world):
+    world.apply(world.new_key.item.model_copy(update={"withdrawn": True}))
+    assert world.outcome.accepted
+
+
+@when(parsers.parse("operators try to {attempt}"))
+def _(world, attempt):
+    key = world.new_key.item
+    digest = hash_key("another")
+    rule = Rule(name="r1", path="/v1", service="s")
+    attempts = {
+        "put the key in force again": [key],
+        "add it under another name": [key.model_copy(update={"name": "k2"})],
+        "move it to another account": [key.model_copy(update={"account": "mill-8"})],
+        "replace its digest": [Key(name=key.name, account="mill-7", digest=digest)],
+        "add a rule for an unknown account": [
+            rule.model_copy(update={"account": "nobody"})
+        ],
+        "add an open route for an unknown account": [
+            OpenRoute(name="/v1/hours", service="s", account="nobody")
+        ],
+        "add two rules for the same callers": [
+            rule,
+            rule.model_copy(update={"name": "r2", "path": "/v1/"}),
+        ],
+        "put an item twice": [Drain(name="bench-a"), Drain(name="bench-a")],
+        "add an account named for any account": [Account(name="*")],
+        "add an endless reason": [Drain(name="bench-a", reason="x" * 10_000)],
+    }
+    removals = {
+        "remove it": ItemName(kind="key", name=key.name),
+        "remove the account of a working key": ItemName(kind="account", name="mill-7"),
+        "remove what does not exist": ItemName(kind="drain", name="bench-a"),
+    }
+    if attempt in removals:
+        world.apply(remove=(removals[attempt],))
+    elif attempt == "use an endless change id":
+        world.apply(change_id="x" * 10_000)
+    else:
+        world.apply(*attempts[attempt])
+
+
+@then("the change is rejected as invalid")
+def _(world):
+    assert world.outcome.code is ErrorCode.CONFIGURATION_INVALID
+    assert world.outcome.message
+
+
+@then("the key is still withdrawn")
+def _(world):
+    assert world.reader.current.find_key(world.new_key.item.digest).withdrawn
+
+
+@then("the configuration is as before")
+def _(world):
+    assert world.reader.current is world.before
+
+
+@then("the key is withdrawn on a reader and on a process that only hears from peers")
+def _(world):
+    peer = ConfigurationFold()
+    peer.merge_relay(world.reader.records_after(-1))
+    for fold in (world.reader, peer):
+        assert fold.current.find_key(world.new_key.item.digest).withdrawn
+
+
+def test_a_new_key_shows_its_clear_text_only_when_asked():
+    key = World().new_key
+    assert key.clear not in repr(key)
+    assert key.clear not in key.item.model_dump_json()
+
+
+def test_without_its_check_a_withdrawn_key_would_come_back(monkeypatch):
+    name = "buckthornstile.configuration._change._check_key"
+    monkeypatch.setattr(name, lambda configuration, key: None)
+    world = World()
+    key = world.new_key.item
+    world.apply(Account(name="mill-7"), key)
+    world.apply(key.model_copy(update={"withdrawn": True}))
+    world.apply(key)
+    assert not world.reader.current.find_key(key.digest).withdrawn
