--- a/buckthornstile/agent/_engine_monitor.py
+++ b/buckthornstile/agent/_engine_monitor.py
@@ -52,7 +52,9 @@
             self._next_read = asyncio.create_task(self._read_after(self._current_read))
         return await asyncio.shield(self._next_read)
 
-    async def _read_after(self, earlier: asyncio.Task[EngineState] | None) -> EngineState:
+    async def _read_after(
+        self, earlier: asyncio.Task[EngineState] | None
+    ) -> EngineState:
         if earlier is not None:
             await asyncio.wait([earlier])
         self._current_read = self._next_read
--- a/buckthornstile/agent/_scheduler.py
+++ b/buckthornstile/agent/_scheduler.py
@@ -34,6 +34,8 @@
 
 SERVER_ERROR_STATUS = 500
 SPEED_SHARE = 0.1
+MIN_PACE_TOKENS = 16
+"""Shorter answers count as this long: their first token weighs too much."""
 
 
 @dataclass(slots=True)
@@ -241,7 +243,7 @@
         self._count_usage(dispatch, answer)
         self.queue.charge(dispatch.request_id, float(answer.generated_tokens or 1))
         self._note_speed(answer.generated_tokens, now - started_at)
-        self.limit.on_first_token(now - started_at, now)
+        self.limit.on_first_token(compute_pace(answer, now - started_at), now)
         self.limit.on_finish(answer.status < SERVER_ERROR_STATUS, now)
         end = End(
             dispatch.request_id,
@@ -355,6 +357,28 @@
         return {split_request_id(request_id)[0] for request_id in self._open}
 
 
+def compute_pace(answer: KeptAnswer, seconds: float) -> float:
+    """Computes the latency that the concurrency limit is steered by.
+
+    Answers of an engine differ in length, so that their whole time says little;
+    the time for each token is comparable, and grows with the engine's load.
+
+    Args:
+        answer: The answer.
+        seconds: How long it took.
+
+    Returns:
+        Seconds a token, or of the whole answer if it has no tokens.
+
+    Example:
+        >>> compute_pace(KeptAnswer(200, "", b"", generated_tokens=100), 2.0)
+        0.02
+    """
+    if not answer.generated_tokens:
+        return seconds
+    return seconds / max(answer.generated_tokens, MIN_PACE_TOKENS)
+
+
 def make_failure(request_id: RequestId, error: BuckthornstileError) -> End:
     """Makes the end of a request that failed.
 
--- a/buckthornstile/entry/_calls.py
+++ b/buckthornstile/entry/_calls.py
@@ -110,7 +110,8 @@
         BuckthornstileError: ``HEADER_INVALID`` or ``BODY_MALFORMED``.
 
     Example:
-        >>> parse_call("GET", "/hours", {}, b"", default_timeout=5, max_timeout=9).timeout
+        >>> call = parse_call("GET", "/h", {}, b"", default_timeout=5, max_timeout=9)
+        >>> call.timeout
         5
     """
     call = Call(
--- a/buckthornstile/entry/_dispatcher.py
+++ b/buckthornstile/entry/_dispatcher.py
@@ -173,9 +173,7 @@
 
     # Choice
 
-    def choose(
-        self, request: RouteRequest
-    ) -> tuple[AgentLink | None, RouteChoice]:
+    def choose(self, request: RouteRequest) -> tuple[AgentLink | None, RouteChoice]:
         """Chooses an upstream by predicted wait.
 
         Args:
--- a/buckthornstile/entry/_fleet.py
+++ b/buckthornstile/entry/_fleet.py
@@ -49,9 +49,7 @@
     def on_vm_list(self, vms: Iterable[Vm]) -> None:
         """Takes in the platform's list."""
         vms = tuple(vms)
-        self.entries = tuple(
-            sorted(vm.process for vm in vms if vm.role is Role.ENTRY)
-        )
+        self.entries = tuple(sorted(vm.process for vm in vms if vm.role is Role.ENTRY))
         self.vms = {vm.upstream: vm for vm in vms if vm.role is Role.AGENT}
         self._note_members()
         self._wanted = self._choose_wanted()
--- a/buckthornstile/entry/_links.py
+++ b/buckthornstile/entry/_links.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import ssl
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from functools import singledispatch
 from typing import Any, Protocol
 
@@ -308,7 +308,9 @@
         if not await self.wait_connected(SEAL_TIMEOUT_SECONDS):
             return Verdict.MAY_HAVE_RUN
         self._seal_count += 1
-        question = RequestId(f"{self.owner.identity.incarnation}-seal/{self._seal_count}")
+        question = RequestId(
+            f"{self.owner.identity.incarnation}-seal/{self._seal_count}"
+        )
         return await self._ask_seal(Seal(question, key, account, first_attempt_age))
 
     async def _ask_seal(self, question: Seal) -> Verdict:
@@ -339,9 +341,7 @@
             raise BuckthornstileError(
                 ErrorCode.CONNECTION_LOST, "the agent is not connected"
             )
-        future: asyncio.Future[OrderResult] = (
-            asyncio.get_running_loop().create_future()
-        )
+        future: asyncio.Future[OrderResult] = asyncio.get_running_loop().create_future()
         self._orders[order.order_id] = future
         self.send(order)
         try:
--- /dev/null
+++ b/buckthornstile/entry/_status.py
@@ -0,0 +1,118 @@
+"""What an entry tells operators of itself."""
+
+from dataclasses import asdict
+from typing import TYPE_CHECKING
+
+from buckthornstile.metrics import GaugeName, Gauges, render_metrics
+
+if TYPE_CHECKING:
+    from buckthornstile.entry._daemon import Entry
+
+
+def make_status(entry: "Entry") -> dict[str, object]:
+    """Makes the status that ``buckthornstile status`` shows.
+
+    Args:
+        entry: The entry.
+
+    Returns:
+        A JSON object.
+    """
+    now = entry.read_clock()
+    configuration = entry.configuration.current
+    return {
+        "process": entry.identity.process,
+        "incarnation": entry.identity.incarnation,
+        "failure_domain": entry.identity.failure_domain,
+        "ready": entry.is_ready,
+        "stopping": entry.stopping,
+        "revision": configuration.revision,
+        "configuration_offset": configuration.through,
+        "log_lag": min(entry.log.get_lag(), 1e9),
+        "control": asdict(entry.control.make_status(now)),
+        "drained": sorted(configuration.drains),
+        "open_calls": entry.admission.open,
+        "lots": [_describe_lot(opened, now) for opened in entry.lots.open.values()],
+        "upstreams": [_describe_link(entry, link, now) for link in _links(entry)],
+    }
+
+
+def _links(entry: "Entry") -> list:
+    links = entry.fleet.links
+    return [links[name] for name in sorted(links)]
+
+
+def _describe_lot(opened, now: float) -> dict[str, object]:  # type: ignore[no-untyped-def]
+    return {
+        "lot": opened.lot.lot_id,
+        "attach": opened.lot.attach,
+        **asdict(opened.lot.summarize(now)),
+    }
+
+
+def _describe_link(entry: "Entry", link, now: float) -> dict[str, object]:  # type: ignore[no-untyped-def]
+    view = link.view
+    return {
+        "upstream": view.upstream,
+        "service": view.service,
+        "failure_domain": view.failure_domain,
+        "connected": link.is_up,
+        "state": view.state.value,
+        "drained": view.drained,
+        "leaving": view.leaving,
+        "ejected": entry.dispatcher.ejection.is_ejected(view.upstream, now),
+        "version": view.version,
+        "limit": view.limit,
+        "running": view.running,
+        "queued": view.queued,
+        "in_flight": view.in_flight,
+        "configuration_offset": link.agent_offset,
+        "last_error": None if link.last_error is None else link.last_error.value,
+    }
+
+
+def make_explanation(entry: "Entry") -> dict[str, object]:
+    """Makes what ``buckthornstile explain`` shows: changes, and refusals by code.
+
+    Args:
+        entry: The entry.
+
+    Returns:
+        A JSON object.
+    """
+    errors = entry.counters.items().get("errors", {})
+    return {
+        "process": entry.identity.process,
+        "changes": entry.changes.list_changes(),
+        "errors": {dict(labels).get("code", ""): n for labels, n in errors.items()},
+        "dispatcher": asdict(entry.dispatcher.counters),
+        "control": dict(entry.control.counters),
+        "runner": dict(entry.runner.counters),
+    }
+
+
+def render_entry_metrics(entry: "Entry") -> str:
+    """Renders the entry's metrics for a scraper.
+
+    Args:
+        entry: The entry.
+
+    Returns:
+        The text format.
+    """
+    gauges = Gauges()
+    gauges.set(GaugeName("open_calls"), entry.admission.open)
+    gauges.set(GaugeName("open_lots"), len(entry.lots.open))
+    gauges.set(
+        GaugeName("configuration_revision"), entry.configuration.current.revision
+    )
+    gauges.set(GaugeName("log_lag_seconds"), min(entry.log.get_lag(), 1e9))
+    gauges.set(GaugeName("log_appends"), entry.log.appends)
+    gauges.set(GaugeName("log_appended_bytes"), entry.log.appended_bytes)
+    connected = sum(link.is_up for link in entry.fleet.links.values())
+    gauges.set(GaugeName("connected_agents"), connected)
+    for name, value in asdict(entry.dispatcher.counters).items():
+        gauges.set(GaugeName(f"calls_{name}"), value)
+    return render_metrics(
+        counters=entry.counters, gauges=gauges, histograms=entry.histograms
+    )
--- a/buckthornstile/routing/_views.py
+++ b/buckthornstile/routing/_views.py
@@ -44,6 +44,7 @@
         in_flight: This entry's own open requests there.
         sent: This entry's own requests since the last heartbeat.
         sent_tokens: Their expected work.
+        finished: This entry's own requests that ended since the last heartbeat.
 
     Example:
         >>> view = UpstreamView("u1", "shop-desk", "bench-a")
@@ -68,6 +69,7 @@
     in_flight: int = 0
     sent: int = 0
     sent_tokens: float = 0.0
+    finished: int = 0
 
     def on_heartbeat(self, heartbeat: Heartbeat, now: float) -> None:
         """Takes over what a heartbeat says.
@@ -91,6 +93,7 @@
         self.version = heartbeat.version
         self.engine_incarnation = heartbeat.engine_incarnation
         self.sent = 0
+        self.finished = 0
         self.sent_tokens = 0.0
 
     def on_send(self, cost: float) -> None:
@@ -106,6 +109,7 @@
     def on_finish(self) -> None:
         """Notes the end of one of this entry's requests."""
         self.in_flight = max(0, self.in_flight - 1)
+        self.finished += 1
 
     def is_alive(self, now: float, *, timeout: float = 3.0) -> bool:
         """Tells whether a heartbeat came lately.
@@ -133,7 +137,7 @@
         """
         age = max(0.0, now - self.heartbeat_at) if self.heartbeat_at else 0.0
         reported = (self.running + self.queued) * 0.5 ** (age / REPORT_HALF_LIFE)
-        return max(reported + self.sent, float(self.in_flight))
+        return max(reported + self.sent - self.finished, float(self.in_flight))
 
 
 REPORT_HALF_LIFE = 4.0
--- a/buckthornstile/samples/_labels.py
+++ b/buckthornstile/samples/_labels.py
@@ -110,7 +110,7 @@
             BuckthornstileError: With ``VERSION_UNVERIFIABLE`` if the answer is
                 not whole, or if the three reports do not agree.
         """
-        self._check_whole()
+        self.check_whole()
         self._check_states(after)
         self._close_range()
         return tuple(self._labels)
@@ -159,7 +159,12 @@
             self._labels.append(TokenRange(self._first, last, version))
             self._first = self._count
 
-    def _check_whole(self) -> None:
+    def check_whole(self) -> None:
+        """Checks that the answer is whole, whichever versions made it.
+
+        Raises:
+            BuckthornstileError: With ``VERSION_UNVERIFIABLE``.
+        """
         if not self._done or self._lines.has_rest:
             raise make_unverifiable("the engine's answer is not whole")
         if self.usage is None:
