--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements behind the design notes."""
--- a/buckthornstile/upstreams/_http.py
+++ b/buckthornstile/upstreams/_http.py
@@ -1,13 +1,14 @@
 """What engines and services share: calls over HTTP."""
 
 import asyncio
+import ipaddress
+import socket
 from collections.abc import AsyncGenerator
 from typing import NoReturn
 from urllib.parse import urlsplit
 
 from tornado.httputil import HTTPHeaders
-from tornado.iostream import IOStream, StreamClosedError
-from tornado.tcpclient import TCPClient
+from tornado.iostream import IOStream
 
 from buckthornstile.base import (
     BuckthornstileError,
@@ -56,7 +57,6 @@
         self.connect_timeout = connect_timeout
         self.max_answer_bytes = max_answer_bytes
         self.max_idle_connections = max_idle_connections
-        self._connector = TCPClient()
         self._idle: list[IOStream] = []
         self._open: dict[RequestId, Exchange] = {}
 
@@ -121,12 +121,10 @@
             if not stream.closed():
                 stream.set_close_callback(None)
                 return stream
-        parts = urlsplit(self.base_url)
         try:
-            return await self._connector.connect(
-                parts.hostname or "", parts.port or DEFAULT_PORT, timeout=timeout
-            )
-        except (OSError, StreamClosedError, TimeoutError) as error:
+            async with asyncio.timeout(timeout):
+                return await _open_stream(self.base_url)
+        except (OSError, ValueError, TimeoutError) as error:
             raise BuckthornstileError(
                 ErrorCode.UPSTREAM_FAILED,
                 "no connection to the upstream",
@@ -172,6 +170,20 @@
             self._idle.remove(stream)
 
 
+async def _open_stream(base_url: str) -> IOStream:
+    # Addresses are IP numbers, so no resolver and none of its threads.
+    parts = urlsplit(base_url)
+    address = ipaddress.ip_address(parts.hostname or "")
+    family = socket.AF_INET6 if address.version == 6 else socket.AF_INET
+    stream = IOStream(socket.socket(family))
+    try:
+        await stream.connect((str(address), parts.port or DEFAULT_PORT))
+    except BaseException:
+        stream.close()
+        raise
+    return stream
+
+
 async def _read_event(
     exchange: Exchange, deadline: float
 ) -> AnswerHead | AnswerPart | AnswerEnd | AnswerLost:
