Give each call to an upstream a connection of its own

Ruled out: keeping connections and relying on the echoed request id: plain services need not echo it, and the victim's request would still be lost.

--- a/benchmarks/client_choice.py
+++ b/benchmarks/client_choice.py
@@ -108,14 +108,11 @@
     """Makes all ways to call."""
     simple = SimpleAsyncHTTPClient(force_instance=True, max_clients=CONCURRENCY)
     curl = CurlAsyncHTTPClient(force_instance=True, max_clients=CONCURRENCY)
-    kept = HttpService(base_url, max_idle_connections=CONCURRENCY)
-    single = HttpService(base_url, max_idle_connections=0)
     return {
         "simple": make_library_call(simple, base_url),
         "curl kept": make_library_call(curl, base_url),
         "curl fresh": make_library_call(curl, base_url, fresh=True),
-        "exchange kept": make_exchange_call(kept),
-        "exchange fresh": make_exchange_call(single),
+        "exchange": make_exchange_call(HttpService(base_url)),
     }
 
 
--- a/buckthornstile/upstreams/_exchange.py
+++ b/buckthornstile/upstreams/_exchange.py
@@ -13,6 +13,7 @@
 )
 from tornado.iostream import IOStream
 
+from buckthornstile.base import ErrorCode
 from buckthornstile.ports import AnswerEnd, AnswerHead, AnswerPart, UpstreamCall
 
 MAX_QUEUED_PARTS = 16
@@ -44,7 +45,6 @@
         self.finished = False
         self.discards = False
         self.length_declared = False
-        self.keeps_alive = False
         self.length = 0
 
     async def headers_received(
@@ -59,10 +59,6 @@
         chunked = headers.get("Transfer-Encoding", "").lower() == "chunked"
         bodiless = self.call.method == "HEAD" or start_line.code in (204, 304)
         self.length_declared = chunked or bodiless or "Content-Length" in headers
-        self.keeps_alive = (
-            start_line.version == "HTTP/1.1"
-            and headers.get("Connection", "").lower() != "close"
-        )
         echo = headers.get(REQUEST_ID_HEADER) or self.call.request_id
         content_type = headers.get("Content-Type", "")
         await self.events.put(
@@ -99,8 +95,7 @@
         self.stream = stream
         self.call = call
         self.max_answer_bytes = max_answer_bytes
-        self.reusable = False
-        self.cancelled = False
+        self.ended_by: ErrorCode | None = None
         self._events: asyncio.Queue[ExchangeEvent] = asyncio.Queue(MAX_QUEUED_PARTS)
         self._delegate = _AnswerDelegate(call, self._events)
         self._reader: asyncio.Task[None] | None = None
@@ -129,15 +124,18 @@
         """Reads the next head, part, end or loss."""
         return await self._events.get()
 
-    def cancel(self) -> None:
-        """Closes the connection; the next event is a loss."""
-        self.cancelled = True
+    def end(self, code: ErrorCode) -> None:
+        """Closes the connection early; the last event is then a loss.
+
+        Args:
+            code: Why, for the error that the caller gets.
+        """
+        self.ended_by = code
         self.stream.close()
 
     async def close(self) -> None:
-        """Ends reading, and closes the stream unless the answer is whole."""
-        if not self.reusable:
-            self.stream.close()
+        """Closes the connection and ends reading."""
+        self.stream.close()
         # An emptied queue lets a reader that waits for room come to its end.
         self._delegate.discards = True
         while not self._events.empty():
@@ -147,12 +145,10 @@
 
     async def _read(self, connection: HTTP1Connection) -> None:
         delegate = self._delegate
-        still_open = False
         # The bytes are not trusted: whatever fails to parse is a lost answer.
         with contextlib.suppress(Exception):
-            still_open = await connection.read_response(delegate)
+            await connection.read_response(delegate)
         if delegate.finished and delegate.length_declared:
-            self.reusable = still_open and delegate.keeps_alive
             await self._events.put(AnswerEnd(delegate.length))
         else:
             await self._events.put(AnswerLost(delegate.head_seen))
--- a/buckthornstile/upstreams/_http.py
+++ b/buckthornstile/upstreams/_http.py
@@ -24,21 +24,20 @@
 )
 
 MAX_ANSWER_BYTES = 64 << 20
-MAX_IDLE_CONNECTIONS = 32
 DEFAULT_PORT = 80
 
 
 class HttpUpstream:
     """An upstream behind HTTP/1.1.
 
-    A request is written once. No failure makes the client write it again, not
-    even on a connection that proves dead.
+    Each call has a connection of its own. Whatever an upstream sends late or
+    twice is lost with that connection, and no failure makes the client write a
+    request again.
 
     Args:
         base_url: Where the upstream listens, as ``http://IP:port``.
         connect_timeout: Seconds for a connection to stand.
         max_answer_bytes: The longest answer that is read.
-        max_idle_connections: Connections kept for later calls; 0 for none.
 
     Example:
         >>> HttpUpstream("http://127.0.0.1:9000").connect_timeout
@@ -51,13 +50,10 @@
         *,
         connect_timeout: float = 1.0,
         max_answer_bytes: int = MAX_ANSWER_BYTES,
-        max_idle_connections: int = MAX_IDLE_CONNECTIONS,
     ) -> None:
         self.base_url = base_url
         self.connect_timeout = connect_timeout
         self.max_answer_bytes = max_answer_bytes
-        self.max_idle_connections = max_idle_connections
-        self._idle: list[IOStream] = []
         self._open: dict[RequestId, Exchange] = {}
 
     async def call(
@@ -78,14 +74,16 @@
             BuckthornstileError: With ``verdict`` NOT_RUN only if no byte of
                 the request left for the upstream.
         """
-        deadline = asyncio.get_running_loop().time() + call.timeout
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + call.timeout
         stream = await self._connect(min(self.connect_timeout, call.timeout))
         exchange = Exchange(stream, call, max_answer_bytes=self.max_answer_bytes)
         self._open[call.request_id] = exchange
+        timer = loop.call_at(deadline, exchange.end, ErrorCode.DEADLINE_PASSED)
         try:
             self._start(exchange)
             while True:
-                event = await _read_event(exchange, deadline)
+                event = await exchange.read_event()
                 if isinstance(event, AnswerLost):
                     _raise_lost(exchange, event)
                 if isinstance(event, AnswerHead):
@@ -94,11 +92,10 @@
                 if isinstance(event, AnswerEnd):
                     return
         finally:
+            timer.cancel()
             if self._open.get(call.request_id) is exchange:
                 del self._open[call.request_id]
             await exchange.close()
-            if exchange.reusable:
-                self._keep(stream)
 
     async def cancel(self, request_id: RequestId) -> None:
         """Closes the connection of a call; its reader gets ``CANCELLED``.
@@ -108,19 +105,14 @@
         """
         exchange = self._open.get(request_id)
         if exchange is not None:
-            exchange.cancel()
+            exchange.end(ErrorCode.CANCELLED)
 
     async def close(self) -> None:
-        """Closes idle connections."""
-        while self._idle:
-            self._idle.pop().close()
+        """Ends the calls that are open; there are no idle connections."""
+        for exchange in list(self._open.values()):
+            exchange.end(ErrorCode.CANCELLED)
 
     async def _connect(self, timeout: float) -> IOStream:
-        while self._idle:
-            stream = self._idle.pop()
-            if not stream.closed():
-                stream.set_close_callback(None)
-                return stream
         try:
             async with asyncio.timeout(timeout):
                 return await _open_stream(self.base_url)
@@ -155,20 +147,6 @@
                 verdict=Verdict.NOT_RUN,
             ) from error
 
-    def _keep(self, stream: IOStream) -> None:
-        if stream.closed():
-            return
-        if len(self._idle) >= self.max_idle_connections:
-            stream.close()
-            return
-        # A close callback makes the stream notice that its peer closed it.
-        stream.set_close_callback(lambda: self._forget(stream))
-        self._idle.append(stream)
-
-    def _forget(self, stream: IOStream) -> None:
-        if stream in self._idle:
-            self._idle.remove(stream)
-
 
 async def _open_stream(base_url: str) -> IOStream:
     # Addresses are IP numbers, so no resolver and none of its threads.
@@ -184,20 +162,6 @@
     return stream
 
 
-async def _read_event(
-    exchange: Exchange, deadline: float
-) -> AnswerHead | AnswerPart | AnswerEnd | AnswerLost:
-    try:
-        async with asyncio.timeout_at(deadline):
-            return await exchange.read_event()
-    except TimeoutError as error:
-        raise BuckthornstileError(
-            ErrorCode.DEADLINE_PASSED,
-            "the upstream's answer did not end in time",
-            verdict=Verdict.MAY_HAVE_RUN,
-        ) from error
-
-
 def _check_echo(call: UpstreamCall, head: AnswerHead) -> None:
     if head.request_id != call.request_id:
         raise BuckthornstileError(
@@ -208,8 +172,8 @@
 
 
 def _raise_lost(exchange: Exchange, lost: AnswerLost) -> NoReturn:
-    if exchange.cancelled:
-        code, message = ErrorCode.CANCELLED, "the call was cancelled"
+    if exchange.ended_by is not None:
+        code, message = exchange.ended_by, "the call was ended before its answer"
     elif lost.head_seen:
         code, message = ErrorCode.ANSWER_TRUNCATED, "the answer ended early"
     else:
