--- a/buckthornstile/control/tests/scripts.py
+++ b/buckthornstile/control/tests/scripts.py
@@ -210,7 +210,7 @@
     world = World(**parts)
     holder = world.wait_for_holder()
     hold_back(holder, kind, record_kind)
-    world.log.append(UsageBatch(entry="x", ranges=((0, 0),), lines=(make_line(),)), 0.0)
+    world.log.append(make_batch(), world.now)
     world.target = 1
     advance_until(world, lambda: holder.is_paused)
     if after:
@@ -221,18 +221,48 @@
     return world
 
 
+def make_batch(entry="x", requests=1, tokens=10):
+    line = make_line(requests=requests, tokens=tokens)
+    return UsageBatch(entry=entry, ranges=((0, requests - 1),), lines=(line,))
+
+
+def lose_log(**parts):
+    """The log is out from before a window's end to long after it."""
+    world = World(**parts)
+    world.wait_for_holder()
+    world.log.append(make_batch(), world.now)
+    world.advance(WINDOW / 2)
+    world.log.is_out = True
+    world.advance(WINDOW * 4)
+    world.settle()
+    return world
+
+
+def lose_report_answers(**parts):
+    """The platform takes each report, but its answer gets lost for a while."""
+    world = World(**parts)
+    holder = world.wait_for_holder()
+    world.log.append(make_batch(), world.now)
+    world.advance(WINDOW * 3, choose_fate=lambda: (Fate.ANSWER_LOST, 0.0))
+    assert len(world.platform.reports) > 1
+    assert world.get_holder() is holder
+    world.settle()
+    return world
+
+
 def seal_from_old_holder(**parts):
     """A paused holder's seal lands after its successor has sealed and reported."""
     world = World(**parts)
     holder = world.wait_for_holder()
+    advance_until(world, lambda: holder.core.fold.usage.last_seal)
     hold_back(holder, Append, UsageSeal)
     advance_until(world, lambda: holder.is_paused)
     seal = holder.held.record
-    batch = UsageBatch(entry="x", ranges=((0, 0),), lines=(make_line(),))
-    world.log.append(batch, world.now)
+    world.log.append(make_batch(), world.now)
     advance_until(
         world, lambda: any(r.window == seal.window for r in world.platform.reports)
     )
+    world.advance(WINDOW / 2)
     world.log.append(seal, world.now)
     world.settle()
     return world
@@ -243,9 +273,7 @@
     world = World(rates=(1.0,), **parts)
     world.wait_for_holder()
     lines = [make_line(tokens=tokens) for tokens in (10, 20, 30)]
-    batch = UsageBatch(
-        entry="x", ranges=((0, 2),), lines=(make_line(requests=3, tokens=60),)
-    )
+    batch = make_batch(requests=3, tokens=60)
     recovery = UsageRecovery(
         entry="x",
         requests=tuple(
