--- a/buckthornstile/upstreams/_exchange.py
+++ b/buckthornstile/upstreams/_exchange.py
@@ -84,37 +84,36 @@
     the upstream down by TCP's own window.
 
     Args:
-        stream: A connected stream that carries no other request.
         call: The call.
         max_answer_bytes: The longest answer that is read.
     """
 
-    def __init__(
-        self, stream: IOStream, call: UpstreamCall, *, max_answer_bytes: int
-    ) -> None:
-        self.stream = stream
+    def __init__(self, call: UpstreamCall, *, max_answer_bytes: int) -> None:
         self.call = call
         self.max_answer_bytes = max_answer_bytes
         self.ended_by: ErrorCode | None = None
+        self._stream: IOStream | None = None
         self._events: asyncio.Queue[ExchangeEvent] = asyncio.Queue(MAX_QUEUED_PARTS)
         self._delegate = _AnswerDelegate(call, self._events)
         self._reader: asyncio.Task[None] | None = None
 
-    def start(self, headers: HTTPHeaders) -> None:
+    def start(self, stream: IOStream, headers: HTTPHeaders) -> None:
         """Writes the request and begins to read the answer.
 
         Args:
+            stream: A connected stream that carries no other request.
             headers: The request's headers.
 
         Raises:
             ValueError: A header is invalid; nothing was written.
         """
+        self._stream = stream
         parameters = HTTP1ConnectionParameters(
             chunk_size=PART_BYTES,
             max_header_size=MAX_HEADER_BYTES,
             max_body_size=self.max_answer_bytes,
         )
-        connection = HTTP1Connection(self.stream, True, parameters)
+        connection = HTTP1Connection(stream, True, parameters)
         start_line = RequestStartLine(self.call.method, self.call.path, "HTTP/1.1")
         connection.write_headers(start_line, headers, self.call.body)
         connection.finish()
@@ -131,11 +130,13 @@
             code: Why, for the error that the caller gets.
         """
         self.ended_by = code
-        self.stream.close()
+        if self._stream is not None:
+            self._stream.close()
 
     async def close(self) -> None:
         """Closes the connection and ends reading."""
-        self.stream.close()
+        if self._stream is not None:
+            self._stream.close()
         # An emptied queue lets a reader that waits for room come to its end.
         self._delegate.discards = True
         while not self._events.empty():
--- a/buckthornstile/upstreams/_http.py
+++ b/buckthornstile/upstreams/_http.py
@@ -75,13 +75,12 @@
                 the request left for the upstream.
         """
         loop = asyncio.get_running_loop()
-        deadline = loop.time() + call.timeout
-        stream = await self._connect(min(self.connect_timeout, call.timeout))
-        exchange = Exchange(stream, call, max_answer_bytes=self.max_answer_bytes)
+        exchange = Exchange(call, max_answer_bytes=self.max_answer_bytes)
         self._open[call.request_id] = exchange
-        timer = loop.call_at(deadline, exchange.end, ErrorCode.DEADLINE_PASSED)
+        timer = loop.call_later(call.timeout, exchange.end, ErrorCode.DEADLINE_PASSED)
         try:
-            self._start(exchange)
+            stream = await self._connect(min(self.connect_timeout, call.timeout))
+            self._start(exchange, stream)
             while True:
                 event = await exchange.read_event()
                 if isinstance(event, AnswerLost):
@@ -123,7 +122,14 @@
                 verdict=Verdict.NOT_RUN,
             ) from error
 
-    def _start(self, exchange: Exchange) -> None:
+    def _start(self, exchange: Exchange, stream: IOStream) -> None:
+        if exchange.ended_by is not None:
+            stream.close()
+            raise BuckthornstileError(
+                exchange.ended_by,
+                "the call was ended before it was sent",
+                verdict=Verdict.NOT_RUN,
+            )
         call = exchange.call
         headers = HTTPHeaders(
             {
@@ -139,7 +145,7 @@
         if call.stream:
             headers["Accept"] = "text/event-stream"
         try:
-            exchange.start(headers)
+            exchange.start(stream, headers)
         except ValueError as error:
             raise BuckthornstileError(
                 ErrorCode.HEADER_INVALID,
--- a/buckthornstile/upstreams/tests/test_calls.py
+++ b/buckthornstile/upstreams/tests/test_calls.py
@@ -180,6 +180,34 @@
     assert (error.code, running) == (ErrorCode.CANCELLED, 0)
 
 
+def test_a_call_that_is_cancelled_before_it_is_sent_has_not_run():
+    async def call():
+        upstream = RawUpstream(OK + b"Content-Length: 2\r\n\r\nok")
+        service = make_service(await upstream.start())
+        running = asyncio.create_task(collect(service, make_call()))
+        await asyncio.sleep(0)
+        await service.cancel(make_call().request_id)
+        with pytest.raises(BuckthornstileError) as raised:
+            await running
+        return raised.value, upstream.requests
+
+    error, requests = asyncio.run(call())
+    assert (error.code, error.verdict) == (ErrorCode.CANCELLED, Verdict.NOT_RUN)
+    assert requests == 0
+
+
+def test_a_line_break_in_a_path_is_never_sent():
+    async def call():
+        upstream = RawUpstream(OK + b"Content-Length: 2\r\n\r\nok")
+        service = make_service(await upstream.start())
+        return await collect(service, make_call(path="/a\r\nX-Key: b"))
+
+    with pytest.raises(BuckthornstileError) as raised:
+        asyncio.run(call())
+    error = raised.value
+    assert (error.code, error.verdict) == (ErrorCode.HEADER_INVALID, Verdict.NOT_RUN)
+
+
 @pytest.mark.parametrize(
     ("fault", "term", "code"),
     [
--- a/standins/platform/__main__.py
+++ b/standins/platform/__main__.py
@@ -17,6 +17,8 @@
     parser.add_argument("--ignore-old-terms", action="store_true")
     parser.add_argument("--weight-chunks-per-second", type=float, default=50.0)
     parser.add_argument("--weight-burst", type=float, default=20.0)
+    parser.add_argument("--start-seconds", type=float, default=0.0)
+    parser.add_argument("--notice-seconds", type=float, default=2.0)
     flags = parser.parse_args()
     vms = json.loads(Path(flags.vms_file).read_text()) if flags.vms_file else []
     options = PlatformOptions(
@@ -27,6 +29,8 @@
         chunks_per_second=flags.weight_chunks_per_second,
         chunk_burst=flags.weight_burst,
         vms=vms,
+        start_seconds=flags.start_seconds,
+        notice_seconds=flags.notice_seconds,
     )
     run(lambda: make_application(options), flags.address, flags.port)
 
--- a/standins/platform/_application.py
+++ b/standins/platform/_application.py
@@ -127,7 +127,9 @@
         if refused:
             await self.answer({"error": "term_old"}, status=409)
             return
-        state.orders.setdefault(order["order_id"], order)
+        if not known:
+            state.orders[order["order_id"]] = order
+            state.carry_out(order)
         await self.answer({"repeated": known})
 
     async def get(self) -> None:
@@ -218,19 +220,23 @@
     """Changes what the platform tells, by a test's hand."""
 
     async def put(self, kind: str, name: str) -> None:
-        """Puts a VM or a trainer."""
+        """Puts a VM, a spare VM or a trainer."""
         fields = json.loads(self.request.body)
         if kind == "vms":
             self.state.vms.put({**fields, "process": name}, now=time.monotonic())
+        elif kind == "spares":
+            self.state.spares[name] = {**fields, "process": name}
         else:
             self.state.trainers[name] = fields["version"]
         self.journal.add("put", of=kind, name=name, fields=fields)
         self.write({})
 
     async def delete(self, kind: str, name: str) -> None:
-        """Removes a VM or a trainer."""
+        """Removes a VM, a spare VM or a trainer."""
         if kind == "vms":
             self.state.vms.remove(name, now=time.monotonic())
+        elif kind == "spares":
+            self.state.spares.pop(name, None)
         else:
             self.state.trainers.pop(name, None)
         self.journal.add("delete", of=kind, name=name)
@@ -251,7 +257,7 @@
     return web.Application(
         [
             *make_control_routes(faults, journal),
-            (r"/control/(vms|trainers)/([^/]+)", ControlHandler, shared),
+            (r"/control/(vms|spares|trainers)/([^/]+)", ControlHandler, shared),
             (r"/log", LogHandler, shared),
             (r"/vms", VmListHandler, shared),
             (r"/orders", OrderHandler, shared),
--- a/standins/platform/_state.py
+++ b/standins/platform/_state.py
@@ -20,6 +20,8 @@
         chunks_per_second: The weight store's rate.
         chunk_burst: Chunks that may be read at once.
         vms: VMs that are listed at the start.
+        start_seconds: From an order to start until the VM is listed.
+        notice_seconds: From an order to stop until the VM is gone.
     """
 
     retain_records: int = 100_000
@@ -29,6 +31,8 @@
     chunks_per_second: float = 50.0
     chunk_burst: float = 20.0
     vms: list[dict[str, Any]] = field(default_factory=list)
+    start_seconds: float = 0.0
+    notice_seconds: float = 2.0
 
 
 class Log:
@@ -136,6 +140,19 @@
         rest = {k: v for k, v in self._current.items() if k != process}
         self._change(rest, now)
 
+    def find(self, failure_domain: str, service: str, upstream: str) -> str | None:
+        """Finds a VM that is not leaving, by the upstream on it if one is named."""
+        for process, vm in self._current.items():
+            is_live = vm.get("state", "live") == "live"
+            is_meant = upstream in ("", vm.get("upstream", ""))
+            if is_live and is_meant and _is_for(vm, failure_domain, service):
+                return process
+        return None
+
+    def get(self, process: str) -> dict[str, Any]:
+        """Gives a VM's entry as it is now."""
+        return self._current[process]
+
     def list(self, *, now: float) -> list[dict[str, Any]]:
         """Lists VMs as they were ``lag`` seconds ago."""
         while len(self._versions) > 1 and self._versions[1][0] <= now - self.lag:
@@ -147,6 +164,10 @@
         self._versions.append((now, vms))
 
 
+def _is_for(vm: dict[str, Any], failure_domain: str, service: str) -> bool:
+    return (vm.get("failure_domain"), vm.get("service")) == (failure_domain, service)
+
+
 def _count_down(vm: dict[str, Any], now: float) -> dict[str, Any]:
     if "leaves_at" not in vm:
         return vm
@@ -176,6 +197,7 @@
         self.vms = VmTable(lag=options.vm_lag_seconds)
         for vm in options.vms:
             self.vms.put(vm, now=time.monotonic() - options.vm_lag_seconds)
+        self.spares: dict[str, dict[str, Any]] = {}
         self.orders: dict[str, dict[str, Any]] = {}
         self.highest_term = -1
         self.reports: dict[int, dict[str, Any]] = {}
@@ -185,6 +207,43 @@
         )
         self.trainers: dict[str, int] = {}
 
+    def carry_out(self, order: dict[str, Any]) -> None:
+        """Lists spare VMs, or gives listed ones notice, as an order says."""
+        for _ in range(order.get("count", 1)):
+            if order["action"] == "start":
+                self._start(order)
+            else:
+                self._stop(order)
+
+    def _start(self, order: dict[str, Any]) -> None:
+        wanted = (order["failure_domain"], order["service"])
+        for process, vm in self.spares.items():
+            if _is_for(vm, *wanted):
+                del self.spares[process]
+                asyncio.get_running_loop().call_later(
+                    self.options.start_seconds, self._list_vm, vm
+                )
+                return
+
+    def _stop(self, order: dict[str, Any]) -> None:
+        process = self.vms.find(
+            order["failure_domain"], order["service"], order.get("upstream", "")
+        )
+        if process is None:
+            return
+        notice = self.options.notice_seconds
+        spare = self.vms.get(process)
+        leaving = {"process": process, "state": "leaving", "seconds_left": notice}
+        self.vms.put(leaving, now=time.monotonic())
+        asyncio.get_running_loop().call_later(notice, self._remove_vm, spare)
+
+    def _list_vm(self, vm: dict[str, Any]) -> None:
+        self.vms.put(vm, now=time.monotonic())
+
+    def _remove_vm(self, vm: dict[str, Any]) -> None:
+        self.vms.remove(vm["process"], now=time.monotonic())
+        self.spares[vm["process"]] = vm
+
     def publish(self, version: int, chunk_count: int, chunk_bytes: int) -> None:
         """Publishes a version of the weights."""
         chunks = (make_chunk(version, i, chunk_bytes) for i in range(chunk_count))
