--- a/buckthornstile/samples/_labels.py
+++ b/buckthornstile/samples/_labels.py
@@ -45,6 +45,7 @@
         self._count = 0
         self._version = -1
         self._done = False
+        self._sound = True
 
     @property
     def token_count(self) -> int:
@@ -65,6 +66,8 @@
         Raises:
             BuckthornstileError: With ``VERSION_UNVERIFIABLE``.
         """
+        # An error that the caller passes over must not be forgotten.
+        self._sound = False
         for payload in self._lines.feed(data):
             if self._done:
                 raise make_unverifiable("the engine's stream goes on after its end")
@@ -72,6 +75,7 @@
                 self._done = True
                 continue
             self._take_event(decode_object(payload))
+        self._sound = True
 
     def feed_whole(self, body: bytes) -> None:
         """Takes in a whole JSON answer.
@@ -84,6 +88,7 @@
         """
         if self._done or self._count:
             raise make_unverifiable("an answer came twice")
+        self._sound = False
         value = decode_object(body)
         versions = value.get("versions")
         if not isinstance(versions, list):
@@ -96,6 +101,7 @@
             raise make_unverifiable("the versions do not cover the tokens")
         self.usage = parse_usage(value)
         self._done = True
+        self._sound = True
 
     def finish(self, after: EngineState) -> tuple[TokenRange, ...]:
         """Gives the labels of the whole answer.
@@ -160,6 +166,8 @@
             self._first = self._count
 
     def _check_whole(self) -> None:
+        if not self._sound:
+            raise make_unverifiable("the engine's answer broke off on an error")
         if not self._done or self._lines.has_rest:
             raise make_unverifiable("the engine's answer is not whole")
         if self.usage is None:
