--- a/buckthornstile/samples/_received.py
+++ b/buckthornstile/samples/_received.py
@@ -71,7 +71,7 @@
         self.duplicate_count = 0
         self.too_old_count = 0
         self.needs_attach = True
-        self._next_attach = first_attach
+        self.next_attach = first_attach
         self._received: set[Slot] = set()
         self._unacknowledged: set[Slot] = set()
 
@@ -92,8 +92,8 @@
 
     def begin_attach(self) -> AttachRequest:
         """Makes the next attach; its number is never used again."""
-        attach = self._next_attach
-        self._next_attach += 1
+        attach = self.next_attach
+        self.next_attach += 1
         self.needs_attach = False
         specification = self.specification.model_copy(
             update={"version": self.trainer_version}
