Encode messages field by field and whole answers in one message

Cause: added latency 10.9 ms p50 with one client, 6.7 ms of processor time a request over entry and agent (under a profiler). Profiling shows 0.16 to 0.30 ms in each encode_message: pycapnp builds a message from a dictionary ten times as slowly as by init and setattr (Chunk 64 us against 4 us, End 100 against 9). Ruled out: Nagle (nodelay on both ends), the flush timer (first bytes leave at once), the fair queue (0.08 ms a pop). Change: fields set one by one, defaults left out; Answer carries a whole answer in one message in place of Started, Chunk and End.

--- a/buckthornstile/agent/_calls.py
+++ b/buckthornstile/agent/_calls.py
@@ -28,13 +28,12 @@
 
     Args:
         answer: Its status, media type, body, labels and token counts.
-        length: Its length, in bytes.
-        digest: Its digest.
+        relay: What has been sent of a streamed answer; None for one that goes
+            in one message.
     """
 
     answer: KeptAnswer
-    length: int
-    digest: bytes
+    relay: ChunkRelay | None
 
 
 def make_upstream_call(request: AgentRequest, now: float) -> UpstreamCall:
@@ -91,7 +90,7 @@
             now: The clock reading, in seconds.
 
         Returns:
-            The whole answer, which has been sent to the entry but for its end.
+            The whole answer; a streamed one has been sent but for its end.
 
         Raises:
             BuckthornstileError: With a true verdict.
@@ -100,7 +99,7 @@
         tracker = None
         if self.monitor is not None:
             tracker = LabelTracker(before or self.monitor.state)
-        relay = ChunkRelay(request, self.timer)
+        relay = ChunkRelay(request, self.timer) if request.dispatch.stream else None
         head, body = await self._relay_answer(request, now, relay, tracker)
         if head.status != HTTP_OK and request.is_sample:
             raise BuckthornstileError(
@@ -111,7 +110,8 @@
         labels: tuple[TokenRange, ...] = ()
         if tracker is not None and head.status == HTTP_OK:
             labels = await self._finish_labels(request, tracker, body)
-        relay.flush()
+        if relay is not None:
+            relay.flush()
         usage = None if tracker is None else tracker.usage
         answer = KeptAnswer(
             head.status,
@@ -121,7 +121,7 @@
             0 if usage is None else usage.prompt_tokens,
             0 if usage is None else usage.generated_tokens,
         )
-        return CallResult(answer, relay.length, relay.digest)
+        return CallResult(answer, relay)
 
     async def _read_state(self, request: AgentRequest) -> EngineState | None:
         """Reads the engine's state before a sample; nothing has started yet."""
@@ -138,30 +138,27 @@
         self,
         request: AgentRequest,
         now: float,
-        relay: ChunkRelay,
+        relay: ChunkRelay | None,
         tracker: LabelTracker | None,
     ) -> tuple[AnswerHead, bytes]:
         head: AnswerHead | None = None
         body = bytearray()
-        dispatch = request.dispatch
         call = make_upstream_call(request, now)
         # An open generator would keep the upstream's connection.
         async with contextlib.aclosing(self.upstream.call(call)) as events:  # type: ignore[type-var]
             async for event in events:
                 if isinstance(event, AnswerHead):
                     head = event
-                    request.reply(
-                        Started(dispatch.request_id, head.status, head.content_type)
-                    )
+                    if relay is not None:
+                        request.reply(_make_started(request, head))
                 elif isinstance(event, AnswerEnd):
                     break
                 else:
                     body += event.data
                     self._check_length(body)
                     self._follow(request, head, tracker, event.data)
-                    relay.add(event.data)
-                    if request.connection is not None:
-                        await request.connection.wait_writable()
+                    if relay is not None:
+                        await relay.add(event.data)
         assert head is not None
         return head, bytes(body)
 
@@ -202,3 +199,7 @@
                 f"the answer is longer than {self.max_answer_bytes} bytes",
                 verdict=Verdict.MAY_HAVE_RUN,
             )
+
+
+def _make_started(request: AgentRequest, head: AnswerHead) -> Started:
+    return Started(request.dispatch.request_id, head.status, head.content_type)
--- a/buckthornstile/agent/_relay.py
+++ b/buckthornstile/agent/_relay.py
@@ -53,15 +53,19 @@
         self._buffer = bytearray()
         self._scheduled = False
 
-    def add(self, data: bytes) -> None:
-        """Takes the next bytes; the first ones leave at once."""
+    async def add(self, data: bytes) -> None:
+        """Takes the next bytes; the first ones leave at once.
+
+        Waits while the entry is so slow that much is still unsent.
+        """
         self._buffer += data
         if self._sequence == 0:
             self.flush()
-            return
-        if not self._scheduled:
+        elif not self._scheduled:
             self._scheduled = True
             self.timer.add(self._flush_on_time)
+        if self.request.connection is not None:
+            await self.request.connection.wait_writable()
 
     def _flush_on_time(self) -> None:
         self._scheduled = False
--- a/buckthornstile/agent/_scheduler.py
+++ b/buckthornstile/agent/_scheduler.py
@@ -1,12 +1,12 @@
 """Queues requests, starts as many as the limit allows, and ends each one once."""
 
 import asyncio
+import dataclasses
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from buckthornstile.agent._admission import AgentCondition, check_request
 from buckthornstile.agent._calls import CallResult, UpstreamCaller
-from buckthornstile.agent._relay import ChunkRelay, FlushTimer
 from buckthornstile.agent._requests import AgentRequest
 from buckthornstile.base import (
     BuckthornstileError,
@@ -24,12 +24,12 @@
 from buckthornstile.samples import FinishedSamples
 from buckthornstile.usage import UsageLedger
 from buckthornstile.wire import (
+    Answer,
     Connection,
     Dispatch,
     End,
     FinishedSample,
-    Started,
-    make_digest,
+    compute_digest,
 )
 
 SERVER_ERROR_STATUS = 500
@@ -154,18 +154,9 @@
     def _replay(self, request: AgentRequest, answer: KeptAnswer) -> None:
         self.counters.replayed += 1
         dispatch = request.dispatch
-        request.reply(Started(dispatch.request_id, answer.status, answer.content_type))
-        relay = ChunkRelay(request, FlushTimer())
-        relay.add(answer.body)
-        request.reply(
-            End(
-                dispatch.request_id,
-                Verdict.RAN,
-                length=relay.length,
-                digest=relay.digest,
-                labels=answer.labels,
-            )
-        )
+        # What it used was counted under the attempt that ran.
+        unbilled = dataclasses.replace(answer, prompt_tokens=0, generated_tokens=0)
+        request.reply(make_answer(dispatch.request_id, unbilled))
 
     # Start
 
@@ -245,29 +236,27 @@
         self._note_speed(answer.generated_tokens, now - started_at)
         self.limit.on_first_token(compute_pace(answer, now - started_at), now)
         self.limit.on_finish(answer.status < SERVER_ERROR_STATUS, now)
-        end = End(
-            dispatch.request_id,
-            Verdict.RAN,
-            length=result.length,
-            digest=result.digest,
-            labels=answer.labels,
-            prompt_tokens=answer.prompt_tokens,
-            generated_tokens=answer.generated_tokens,
-        )
         if request.is_sample:
             self._keep_sample(dispatch, answer, now)
-        request.reply(end)
+        whole = make_answer(dispatch.request_id, answer)
+        if result.relay is None:
+            request.reply(whole)
+            return
+        end = whole.split()[-1]
+        request.reply(
+            dataclasses.replace(
+                end, length=result.relay.length, digest=result.relay.digest
+            )
+        )
 
     def _keep_sample(self, dispatch: Dispatch, answer: KeptAnswer, now: float) -> None:
-        digest = make_digest()
-        digest.update(answer.body)
         sample = FinishedSample(
             dispatch.request_id,
             dispatch.lot,
             dispatch.slot_group,
             dispatch.slot_index,
             answer.body,
-            digest.digest(),
+            compute_digest(answer.body),
             answer.labels,
             answer.prompt_tokens,
             answer.generated_tokens,
@@ -379,6 +368,32 @@
     return seconds / max(answer.generated_tokens, MIN_PACE_TOKENS)
 
 
+def make_answer(request_id: RequestId, answer: KeptAnswer) -> Answer:
+    """Makes the one message of a whole answer.
+
+    Args:
+        request_id: The request.
+        answer: The answer.
+
+    Returns:
+        The message for the entry.
+
+    Example:
+        >>> make_answer("e/1", KeptAnswer(200, "text/plain", b"yes")).body
+        b'yes'
+    """
+    return Answer(
+        request_id,
+        answer.status,
+        answer.content_type,
+        answer.body,
+        compute_digest(answer.body),
+        answer.labels,
+        answer.prompt_tokens,
+        answer.generated_tokens,
+    )
+
+
 def make_failure(request_id: RequestId, error: BuckthornstileError) -> End:
     """Makes the end of a request that failed.
 
--- a/buckthornstile/entry/_links.py
+++ b/buckthornstile/entry/_links.py
@@ -25,6 +25,7 @@
 from buckthornstile.routing import UpstreamView
 from buckthornstile.wire import (
     AcknowledgeSamples,
+    Answer,
     Cancel,
     Chunk,
     ConfirmUsage,
@@ -427,6 +428,12 @@
     link.deliver(message)
 
 
+@handle_reply.register
+def _(message: Answer, link: AgentLink) -> None:
+    for reply in message.split():
+        link.deliver(reply)
+
+
 @handle_reply.register
 def _(message: Heartbeat, link: AgentLink) -> None:
     link.heard_at = link.owner.read_clock()
--- a/buckthornstile/entry/_lots.py
+++ b/buckthornstile/entry/_lots.py
@@ -54,7 +54,7 @@
     FinishedSample,
     Slot,
     Started,
-    make_digest,
+    compute_digest,
 )
 
 if TYPE_CHECKING:
@@ -599,15 +599,12 @@
         >>> hash_slot(LotId("l"), Slot(0, 1)) == hash_slot(LotId("l"), Slot(0, 2))
         False
     """
-    digest = make_digest()
-    digest.update(f"{lot_id}/{slot.group}/{slot.index}".encode())
-    return int.from_bytes(digest.digest()[:8], "big") % MAX_SEED
+    digest = compute_digest(f"{lot_id}/{slot.group}/{slot.index}".encode())
+    return int.from_bytes(digest[:8], "big") % MAX_SEED
 
 
 def _is_whole(sample: FinishedSample) -> bool:
-    digest = make_digest()
-    digest.update(sample.body)
-    return digest.digest() == sample.digest
+    return compute_digest(sample.body) == sample.digest
 
 
 def _make_sample(sample: FinishedSample) -> Sample:
--- a/buckthornstile/wire/__init__.py
+++ b/buckthornstile/wire/__init__.py
@@ -1,6 +1,11 @@
 """Messages between the system's own processes and the connections they use."""
 
-from buckthornstile.wire._answers import AnswerCheck, Digest, make_digest
+from buckthornstile.wire._answers import (
+    AnswerCheck,
+    Digest,
+    compute_digest,
+    make_digest,
+)
 from buckthornstile.wire._codec import decode_message, encode_message
 from buckthornstile.wire._connections import (
     Connection,
@@ -18,6 +23,7 @@
 )
 from buckthornstile.wire._messages import (
     AcknowledgeSamples,
+    Answer,
     Cancel,
     Challenge,
     Chunk,
@@ -49,6 +55,7 @@
 __all__ = [
     "MAX_FRAME_BYTES",
     "AcknowledgeSamples",
+    "Answer",
     "AnswerCheck",
     "Cancel",
     "Challenge",
@@ -83,6 +90,7 @@
     "Welcome",
     "check_hello",
     "check_welcome",
+    "compute_digest",
     "decode_message",
     "dial_peer",
     "encode_message",
--- a/buckthornstile/wire/_answers.py
+++ b/buckthornstile/wire/_answers.py
@@ -35,6 +35,22 @@
     return hashlib.blake2b(digest_size=DIGEST_BYTES)
 
 
+def compute_digest(data: bytes) -> bytes:
+    """Computes the digest of a whole answer.
+
+    Args:
+        data: The answer.
+
+    Returns:
+        16 bytes.
+
+    Example:
+        >>> compute_digest(b"a") == compute_digest(b"b")
+        False
+    """
+    return hashlib.blake2b(data, digest_size=DIGEST_BYTES).digest()
+
+
 class AnswerCheck:
     """Follows one answer's chunks and compares them with its end.
 
--- a/buckthornstile/wire/_codec.py
+++ b/buckthornstile/wire/_codec.py
@@ -35,10 +35,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _FieldCodec:
+    """Converts one field; ``item`` is the codec of a list's structs."""
+
     name: str
     wire_name: str
     encode: _Convert
     decode: _Convert
+    item: "_StructCodec | None" = None
+
+    def write(self, builder: Any, value: Any) -> None:
+        if self.item is not None:
+            self.item.write_list(builder.init(self.wire_name, len(value)), value)
+            return
+        setattr(builder, self.wire_name, self.encode(value))
 
 
 def _get_enum(annotation: Any) -> tuple[type[Enum] | None, bool]:
@@ -54,30 +63,31 @@
 def _make_field_codec(field: dataclasses.Field[Any], annotation: Any) -> _FieldCodec:
     wire_name = _to_camel(field.name)
     enum, optional = _get_enum(annotation)
-    if enum is not None and optional:
+    if enum is not None:
+        members = {member.value: member for member in enum}
+        if optional:
+            members[""] = None  # type: ignore[assignment]
         return _FieldCodec(
             field.name,
             wire_name,
             lambda value: "" if value is None else value.value,
-            lambda text: enum(text) if text else None,
+            members.__getitem__,
         )
-    if enum is not None:
-        return _FieldCodec(field.name, wire_name, lambda value: value.value, enum)
     if typing.get_origin(annotation) is tuple:
         item = _make_struct_codec(typing.get_args(annotation)[0])
-        return _FieldCodec(
-            field.name,
-            wire_name,
-            lambda values: [item.to_dict(value) for value in values],
-            lambda values: tuple(item.from_reader(value) for value in values),
-        )
+        return _FieldCodec(field.name, wire_name, _keep, item.read_list, item)
     if annotation is bytes:
         return _FieldCodec(field.name, wire_name, _keep, bytes)
     return _FieldCodec(field.name, wire_name, _keep, _keep)
 
 
 class _StructCodec:
-    """Converts one dataclass to and from a Cap'n Proto struct."""
+    """Converts one dataclass to and from a Cap'n Proto struct.
+
+    Fields are set one by one, since pycapnp takes ten times as long to build a
+    message from a dictionary; empty values are the wire's defaults and are left
+    out.
+    """
 
     def __init__(self, kind: type) -> None:
         hints = typing.get_type_hints(kind, vars(_messages))
@@ -87,12 +97,22 @@
             for field in dataclasses.fields(kind)
         )
 
-    def to_dict(self, message: Any) -> dict[str, Any]:
-        return {f.wire_name: f.encode(getattr(message, f.name)) for f in self.fields}
+    def write(self, builder: Any, message: Any) -> None:
+        for field in self.fields:
+            value = getattr(message, field.name)
+            if value:
+                field.write(builder, value)
+
+    def write_list(self, builders: Any, values: tuple[Any, ...]) -> None:
+        for index, value in enumerate(values):
+            self.write(builders[index], value)
 
-    def from_reader(self, reader: Any) -> Any:
+    def read(self, reader: Any) -> Any:
         return self.kind(*[f.decode(getattr(reader, f.wire_name)) for f in self.fields])
 
+    def read_list(self, readers: Any) -> tuple[Any, ...]:
+        return tuple(self.read(reader) for reader in readers)
+
 
 _STRUCT_CODECS: dict[type, _StructCodec] = {}
 
@@ -127,8 +147,9 @@
         Goodbye(reason='stop')
     """
     name = _UNION_NAMES[type(message)]
-    fields = _UNION_CODECS[name].to_dict(message)
-    return _SCHEMA.Envelope.new_message(**{name: fields}).to_bytes()
+    envelope = _SCHEMA.Envelope.new_message()
+    _UNION_CODECS[name].write(envelope.init(name), message)
+    return envelope.to_bytes()
 
 
 def decode_message(data: bytes) -> Message:
@@ -153,8 +174,8 @@
         with _SCHEMA.Envelope.from_bytes(
             data, traversal_limit_in_words=_TRAVERSAL_LIMIT_WORDS
         ) as envelope:
-            name = envelope.which()
-            return _UNION_CODECS[str(name)].from_reader(getattr(envelope, str(name)))
+            name = str(envelope.which())
+            return _UNION_CODECS[name].read(getattr(envelope, name))
     except (capnp.KjException, ValueError, KeyError, AttributeError) as error:
         raise BuckthornstileError(
             ErrorCode.FRAME_MALFORMED, "a frame does not hold a known message"
--- a/buckthornstile/wire/_messages.py
+++ b/buckthornstile/wire/_messages.py
@@ -195,6 +195,47 @@
     retry_after: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """A whole answer in one message, in place of head, chunks and end.
+
+    Args:
+        request_id: The request.
+        status: The HTTP status.
+        content_type: The body's media type.
+        body: The whole body.
+        digest: BLAKE2b-128 of the body, taken where the upstream's answer ended.
+        labels: Which weight versions made which tokens.
+        prompt_tokens: Tokens read.
+        generated_tokens: Tokens made.
+    """
+
+    request_id: RequestId
+    status: int
+    content_type: str
+    body: bytes
+    digest: bytes
+    labels: tuple[TokenRange, ...] = ()
+    prompt_tokens: int = 0
+    generated_tokens: int = 0
+
+    def split(self) -> tuple[Started, Chunk, End]:
+        """Gives the messages that it stands for."""
+        return (
+            Started(self.request_id, self.status, self.content_type),
+            Chunk(self.request_id, 0, self.body),
+            End(
+                self.request_id,
+                Verdict.RAN,
+                length=len(self.body),
+                digest=self.digest,
+                labels=self.labels,
+                prompt_tokens=self.prompt_tokens,
+                generated_tokens=self.generated_tokens,
+            ),
+        )
+
+
 @dataclass(frozen=True, slots=True)
 class Cancel:
     """The caller has gone, or another attempt has won."""
@@ -391,6 +432,7 @@
     | Started
     | Chunk
     | End
+    | Answer
     | Cancel
     | Seal
     | Sealed
--- a/buckthornstile/wire/messages.capnp
+++ b/buckthornstile/wire/messages.capnp
@@ -95,6 +95,17 @@
   retryAfter @9 :Float64;
 }
 
+struct Answer {
+  requestId @0 :Text;
+  status @1 :UInt16;
+  contentType @2 :Text;
+  body @3 :Data;
+  digest @4 :Data;
+  labels @5 :List(TokenRange);
+  promptTokens @6 :UInt32;
+  generatedTokens @7 :UInt32;
+}
+
 struct Cancel {
   requestId @0 :Text;
   reason @1 :Text;
@@ -228,5 +239,6 @@
     weightRequest @19 :WeightRequest;
     weightChunk @20 :WeightChunk;
     goodbye @21 :Goodbye;
+    answer @22 :Answer;
   }
 }
