--- a/buckthornstile/configuration/_fold.py
+++ b/buckthornstile/configuration/_fold.py
@@ -10,6 +10,7 @@
 from collections import deque
 from collections.abc import Sequence
 from dataclasses import dataclass
+from itertools import accumulate
 
 from buckthornstile.base import (
     NO_OFFSET,
@@ -36,6 +37,7 @@
 MAX_RECENT_CHANGES = 512
 MAX_TAIL_RECORDS = 128
 MAX_TAIL_BYTES = 2 << 20
+MAX_RELAY_BYTES = 1 << 20
 MAX_PENDING_CHANGES = 1024
 
 
@@ -237,7 +239,8 @@
             offset: The ``through`` of the peer's configuration.
 
         Returns:
-            Accepted changes in order; a snapshot if they do not reach back.
+            Accepted changes in order, as many as fit into one message; a snapshot
+            if the tail does not reach back.
 
         Example:
             >>> ConfigurationFold().records_after(Offset(-1))
@@ -251,7 +254,10 @@
         if start is None:
             data = encode_record(self.make_snapshot())
             return (RelayedRecord(self._current.through, data),)
-        return tuple(entry.record for entry in list(self._tail)[start:])
+        records = [entry.record for entry in list(self._tail)[start:]]
+        sizes = accumulate(len(record.data) for record in records)
+        fitting = sum(size <= MAX_RELAY_BYTES for size in sizes)
+        return tuple(records[: max(1, fitting)])
 
     def _apply_snapshot(
         self, offset: Offset, snapshot: ConfigurationSnapshot
