--- /dev/null
+++ b/buckthornstile/commands/_in_force.py
@@ -0,0 +1,106 @@
+"""Asks entries whether a change is in force on them and on their agents."""
+
+import asyncio
+import time
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from typing import Any
+
+from buckthornstile.base import BuckthornstileError
+from buckthornstile.commands._ports import Fetch, fetch_json
+from buckthornstile.commands._submit import Sleep, SubmitResult
+
+POLL_INTERVAL = 0.2
+"""Time between two questions to the same entry, in seconds."""
+
+FETCH_TIMEOUT = 2.0
+"""Time to wait for one answer, in seconds."""
+
+
+@dataclass(frozen=True, slots=True)
+class InForce:
+    """Where a change is in force.
+
+    Args:
+        asked: Entries that were asked.
+        behind: Processes on which it is not yet, or that gave no answer.
+        waited: Seconds that it took.
+    """
+
+    asked: int = 0
+    behind: tuple[str, ...] = ()
+    waited: float = 0.0
+
+
+async def wait_in_force(
+    entries: Sequence[str],
+    result: SubmitResult,
+    *,
+    timeout: float,
+    fetch: Fetch = fetch_json,
+    clock: Callable[[], float] = time.monotonic,
+    sleep: Sleep = asyncio.sleep,
+) -> InForce:
+    """Waits until every entry and its agents have a change, or time is up.
+
+    Args:
+        entries: The entries' base URLs.
+        result: The change's revision and offset.
+        timeout: Seconds to wait at most.
+        fetch: Fetches a JSON object.
+        clock: Gives the time in seconds.
+        sleep: Waits that many seconds.
+
+    Returns:
+        Where it is in force.
+    """
+    started = clock()
+    behind: tuple[str, ...] = tuple(entries)
+    for _ in range(max(1, int(timeout / POLL_INTERVAL) + 1)):
+        found = await asyncio.gather(*(_ask(url, result, fetch) for url in entries))
+        behind = tuple(dict.fromkeys(name for names in found for name in names))
+        if not behind or clock() - started >= timeout:
+            break
+        await sleep(POLL_INTERVAL)
+    return InForce(len(entries), behind, clock() - started)
+
+
+async def _ask(url: str, result: SubmitResult, fetch: Fetch) -> list[str]:
+    try:
+        status = await fetch(f"{url}/v1/status", FETCH_TIMEOUT)
+    except BuckthornstileError:
+        return [f"{url} (no answer)"]
+    return find_behind(url, status, result)
+
+
+def find_behind(url: str, status: dict[str, Any], result: SubmitResult) -> list[str]:
+    """Finds the processes that a status shows without the change.
+
+    Args:
+        url: The entry's base URL.
+        status: Its status: ``configuration.revision``, and for each of ``agents``
+            its ``process`` and ``configuration_offset``.
+        result: The change's revision and offset.
+
+    Returns:
+        The names of the processes.
+
+    Example:
+        >>> result = SubmitResult(2, 7, True)
+        >>> status = {"configuration": {"revision": 2}, "agents": []}
+        >>> find_behind("http://127.0.0.1:1", status, result)
+        []
+    """
+    configuration = status.get("configuration")
+    revision = configuration.get("revision") if isinstance(configuration, dict) else 0
+    behind = []
+    if not isinstance(revision, int) or revision < result.revision:
+        behind.append(url)
+    agents = status.get("agents")
+    for agent in agents if isinstance(agents, list) else []:
+        if not isinstance(agent, dict):
+            continue
+        offset = agent.get("configuration_offset", -1)
+        if not isinstance(offset, int) or offset < result.offset:
+            behind.append(str(agent.get("process", "an agent")))
+    return behind
--- a/buckthornstile/settings/_common.py
+++ b/buckthornstile/settings/_common.py
@@ -108,8 +108,10 @@
 
     @field_validator("platform_url")
     @classmethod
-    def _check_platform_url(cls, value: str) -> str:
-        return check_url(value)
+    def _check_platform_url(cls, value: str, info: ValidationInfo) -> str:
+        # Only a role that needs no platform has a default, which is empty.
+        is_optional = not cls.model_fields["platform_url"].is_required()
+        return value if is_optional and not value else check_url(value)
 
 
 class DaemonSettings(CommonSettings):
--- a/buckthornstile/settings/_load.py
+++ b/buckthornstile/settings/_load.py
@@ -80,7 +80,7 @@
         value = getattr(settings, name)
         unit = find_unit(info.json_schema_extra)
         text = _show(value)
-        shows_unit = unit and not isinstance(value, SecretStr)
+        shows_unit = unit and isinstance(value, int | float)
         described[name] = f"{text} {unit}" if shows_unit else text
     return described
 
--- a/buckthornstile/settings/_operator.py
+++ b/buckthornstile/settings/_operator.py
@@ -8,6 +8,10 @@
 class OperatorSettings(CommonSettings):
     """Settings of the operators' commands."""
 
+    platform_url: str = Field(
+        default="",
+        description="Base URL of the platform's services; for what uses the log.",
+    )
     entries: str = Field(
         default="",
         description="Base URLs of entries to ask, separated by commas.",
--- a/buckthornstile/sheet/_plan.py
+++ b/buckthornstile/sheet/_plan.py
@@ -47,7 +47,7 @@
     unchanged: tuple[ConfigurationItem, ...] = field(default=(), compare=False)
     new_keys: tuple[SheetKey, ...] = ()
     withdrawn_keys: tuple[Key, ...] = ()
-    kept: tuple[ConfigurationItem, ...] = ()
+    kept: tuple[ConfigurationItem, ...] = field(default=(), compare=False)
 
     @property
     def is_empty(self) -> bool:
