--- a/buckthornstile/commands/_config.py
+++ b/buckthornstile/commands/_config.py
@@ -137,7 +137,7 @@
             "put": [f"{item.kind} {item.name}" for item in accepted.change.put],
             "remove": [f"{item.kind} {item.name}" for item in accepted.change.remove],
         }
-        for accepted in reader.history
+        for accepted in reader.list_history()
     ]
     lines = [
         f"revision {change['revision']} by {change['operator'] or 'unnamed'}: "
--- a/buckthornstile/commands/_log_reader.py
+++ b/buckthornstile/commands/_log_reader.py
@@ -42,7 +42,9 @@
     def __init__(self, log: LogPort) -> None:
         self.log = log
         self.fold = ConfigurationFold()
-        self.history: deque[AcceptedChange] = deque(maxlen=MAX_HISTORY)
+        self._changes: deque[tuple[Offset, ConfigurationChange]] = deque(
+            maxlen=MAX_HISTORY
+        )
         self.seals: deque[UsageSeal] = deque(maxlen=MAX_HISTORY)
         self.reported: deque[UsageReported] = deque(maxlen=MAX_HISTORY)
 
@@ -53,6 +55,19 @@
         """The newest configuration read."""
         return self.fold.current
 
+    def list_history(self) -> list[AcceptedChange]:
+        """Lists the accepted changes that were read, oldest first.
+
+        The fold does not judge a change that a later snapshot covers, but the
+        snapshot names the last accepted ones.
+        """
+        accepted = {}
+        for offset, change in self._changes:
+            revision = self.fold.find_change(change.change_id)
+            if revision == change.base_revision + 1 and revision not in accepted:
+                accepted[revision] = AcceptedChange(revision, offset, change)
+        return [accepted[revision] for revision in sorted(accepted)]
+
     async def read_to_end(self) -> Configuration:
         """Reads all records that the log holds by now.
 
@@ -84,14 +99,11 @@
     def _apply_page(self, page: LogPage) -> None:
         for entry in page.entries:
             record = decode_record(entry.data)
-            outcome = self.fold.apply(entry.offset, record)
+            self.fold.apply(entry.offset, record)
             self._next = Offset(entry.offset + 1)
             if isinstance(record, UsageSeal):
                 self.seals.append(record)
             elif isinstance(record, UsageReported):
                 self.reported.append(record)
-            elif not isinstance(record, ConfigurationChange):
-                continue
-            elif outcome.accepted and not outcome.duplicate:
-                accepted = AcceptedChange(outcome.revision, entry.offset, record)
-                self.history.append(accepted)
+            elif isinstance(record, ConfigurationChange):
+                self._changes.append((entry.offset, record))
--- a/buckthornstile/commands/_submit.py
+++ b/buckthornstile/commands/_submit.py
@@ -123,6 +123,7 @@
         revision = self.reader.fold.find_change(self._made.change_id)
         if revision is None:
             return None
-        offsets = [a.offset for a in self.reader.history if a.revision == revision]
+        history = self.reader.list_history()
+        offsets = [made.offset for made in history if made.revision == revision]
         offset = offsets[-1] if offsets else self.reader.current.through
         return SubmitResult(revision, offset, True)
--- a/buckthornstile/commands/tests/test_commands.py
+++ b/buckthornstile/commands/tests/test_commands.py
@@ -70,6 +70,17 @@
     assert log.fold()[0].current.revision == 3
 
 
+def test_the_history_begins_where_the_log_does(log, capsys):
+    for name in ("bench-a", "bench-b", "grind-room"):
+        run(capsys, "drain", name)
+    log.add(log.fold()[0].make_snapshot())
+    log.first_retained = 1
+    run(capsys, "restore", "bench-a")
+    _, history = run(capsys, "config", "history")
+    assert [c["revision"] for c in history["changes"]] == [2, 3, 4]
+    assert [c["offset"] for c in history["changes"]] == [1, 2, 4]
+
+
 def test_words_and_flags_that_are_not_known_change_nothing(log, capsys):
     for words in (
         ["drain"],
--- a/buckthornstile/configuration/tests/in_force.feature
+++ b/buckthornstile/configuration/tests/in_force.feature
@@ -18,6 +18,8 @@
       | was cut off for longer than retention        | reads the log with a snapshot  |
       | was cut off for longer than retention        | hears from a peer              |
       | was cut off longer than a peer's memory      | hears from a peer              |
+      | could not read one record                    | reads the log with a snapshot  |
+      | could not read one record                    | hears from a peer              |
       | missed one relayed record                    | asks again                     |
 
   Scenario Outline: Nothing that arrives late brings an older configuration back
--- a/buckthornstile/configuration/tests/test_in_force.py
+++ b/buckthornstile/configuration/tests/test_in_force.py
@@ -10,7 +10,12 @@
     make_drain_change,
     make_reader,
 )
-from buckthornstile.records import Account, decode_record, encode_record
+from buckthornstile.records import (
+    Account,
+    UnreadableRecord,
+    decode_record,
+    encode_record,
+)
 from buckthornstile.wire import RelayedRecord
 
 scenarios("in_force.feature")
@@ -86,6 +91,17 @@
         world.change(number)
 
 
+@given("a process that could not read one record")
+def _(world):
+    world.read()
+    world.change(90)
+    world.process.apply(world.position, UnreadableRecord(reason="newer"))
+    world.position += 1
+    world.change(91)
+    world.read()
+    assert world.process.current.revision == 4
+
+
 @given("a process that missed one relayed record")
 def _(world):
     world.read()
--- a/buckthornstile/settings/_common.py
+++ b/buckthornstile/settings/_common.py
@@ -135,7 +135,7 @@
     )
     deployment_secret: SecretStr = Field(
         min_length=MINIMUM_SECRET_LENGTH,
-        description="Secret by which processes of one deployment know each other.",
+        description="Secret that all its processes share; safer in a variable.",
         json_schema_extra={"unit": "characters"},
     )
     tls_certificate: str = Field(default="", description="Path of the certificate.")
--- a/buckthornstile/sheet/tests/test_sheet.py
+++ b/buckthornstile/sheet/tests/test_sheet.py
@@ -116,6 +116,13 @@
     assert read_problems(b"x" * (5 << 20)) == [(0, "", "too_large")]
 
 
+def test_a_spreadsheet_that_unpacks_to_much_is_not_unpacked(monkeypatch):
+    data = make_xlsx([["kind"]])
+    name = "buckthornstile.sheet._cells.MAX_UNPACKED_BYTES"
+    monkeypatch.setattr(name, 1000)
+    assert read_problems(data) == [(0, "", "too_large")]
+
+
 CELLS = st.one_of(
     st.sampled_from([*COLUMNS, "account", "key", "rule", "*", "/v1", "yes", "=1", ""]),
     st.text(max_size=8),
