--- a/buckthornstile/settings/_document.py
+++ b/buckthornstile/settings/_document.py
@@ -16,7 +16,8 @@
 
 A flag goes over an environment variable, and that over the default. The setting
 `peer_port` is the flag `--peer_port` and the variable `BUCKTHORNSTILE_PEER_PORT`.
-`python -m buckthornstile settings check` names everything that is wrong at once.
+`python -m buckthornstile settings check entry` (or `agent`, `operator`) names
+everything that is wrong at once.
 """
 HEAD = (
     "| setting | default | allowed | unit | meaning |\n| --- | --- | --- | --- | --- |"
