--- a/benchmarks/client_choice.py
+++ b/benchmarks/client_choice.py
@@ -22,7 +22,7 @@
 from buckthornstile.ports import AnswerPart, UpstreamCall
 from buckthornstile.upstreams import HttpService
 from standins.launch import Bench
-from standins.server import run
+from standins.server import run, send_at_once
 
 BODY = b"x" * 1024
 STREAM_EVENTS = 20
@@ -47,7 +47,7 @@
 
     async def post(self) -> None:
         """Writes the events."""
-        self.request.connection.stream.set_nodelay(True)
+        send_at_once(self)
         for index in range(STREAM_EVENTS):
             self.write(f"data: {index}\n\n")
             await self.flush()
@@ -202,7 +202,11 @@
                 f"{result['first_p50_ms']:7.2f} {result['cpu_us']:7.0f}"
             )
     for name in calls:
-        arrivals = await count_repeats(lambda url, name=name: make_calls(url)[name])
+
+        def make(url: str, name: str = name) -> Call:
+            return make_calls(url)[name]
+
+        arrivals = await count_repeats(make)
         print(f"{name:15} order sent once arrived {arrivals} times")
 
 
--- a/standins/engine/_application.py
+++ b/standins/engine/_application.py
@@ -7,7 +7,7 @@
 
 from standins.engine._completions import CompletionHandler, EngineHandler
 from standins.engine._scheduler import EngineOptions, Scheduler
-from standins.faults import FaultTable
+from standins.faults import Fault, FaultTable
 from standins.server import Journal, make_control_routes
 
 
@@ -113,7 +113,7 @@
     """
     scheduler = Scheduler(options or EngineOptions())
 
-    def set_slow(fault) -> None:
+    def set_slow(fault: Fault) -> None:
         scheduler.slow_factor = fault.value or 1.0
 
     faults = FaultTable(
--- a/standins/engine/_completions.py
+++ b/standins/engine/_completions.py
@@ -14,7 +14,7 @@
 from standins.engine._cache import count_tokens
 from standins.engine._scheduler import Scheduler, Sequence, make_token
 from standins.faults import FaultTable
-from standins.server import Journal, drop_connection
+from standins.server import Journal, drop_connection, send_at_once
 
 MAX_HANG = 600.0  # seconds
 MAX_JOURNAL_BODY = 2048  # characters
@@ -160,8 +160,7 @@
         declared = self.faults.take("truncate_declared")
         doubled = self.faults.take("doubled") is not None
         self.set_header("Content-Type", "text/event-stream")
-        # Nagle's algorithm would hold each token back for the last one's ACK.
-        self.request.connection.stream.set_nodelay(True)
+        send_at_once(self)
         version = self.scheduler.version
         sent = 0
         async for token, index, version in self._iterate_tokens():
--- a/standins/launch.py
+++ b/standins/launch.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any, Self
-from urllib.request import Request, urlopen
+from urllib.request import ProxyHandler, Request, build_opener
 
 START_TIMEOUT = 20.0  # seconds
 STOP_TIMEOUT = 10.0  # seconds
@@ -29,6 +29,7 @@
         ready: The JSON line that it printed at its start.
         log_path: Where its error output goes.
         address: The IP number that it listens on.
+        asked_to_stop: Whether it was sent SIGTERM.
     """
 
     name: str
@@ -36,6 +37,7 @@
     ready: dict[str, Any]
     log_path: Path
     address: str = "127.0.0.1"
+    asked_to_stop: bool = False
 
     @property
     def port(self) -> int:
@@ -69,11 +71,17 @@
         self.process.kill()
         self.process.wait()
 
+    def ask_to_stop(self) -> None:
+        """Sends SIGTERM, once: a second one may strike as it shuts down."""
+        if self.asked_to_stop or not self.is_running:
+            return
+        self.asked_to_stop = True
+        self.send_signal(signal.SIGCONT)
+        self.send_signal(signal.SIGTERM)
+
     def stop(self, *, timeout: float = STOP_TIMEOUT) -> int:
         """Asks it to end, kills it after a while, and gives its exit status."""
-        if self.is_running:
-            self.send_signal(signal.SIGCONT)
-            self.send_signal(signal.SIGTERM)
+        self.ask_to_stop()
         try:
             return self.process.wait(timeout)
         except subprocess.TimeoutExpired:
@@ -84,7 +92,9 @@
         """Makes a JSON call to it, such as to its control routes."""
         data = None if body is None else json.dumps(body).encode()
         request = Request(self.url + path, data=data, method=method)
-        with urlopen(request, timeout=CALL_TIMEOUT) as answer:  # noqa: S310
+        # Stand-ins listen on loopback, so a proxy of the environment is ignored.
+        opener = build_opener(ProxyHandler({}))
+        with opener.open(request, timeout=CALL_TIMEOUT) as answer:
             return json.loads(answer.read() or b"null")
 
     def add_fault(self, kind: str, **fields: Any) -> None:
@@ -176,9 +186,7 @@
     def stop_all(self) -> None:
         """Asks all to end at once, then waits for each."""
         for process in self.processes:
-            if process.is_running:
-                process.send_signal(signal.SIGCONT)
-                process.send_signal(signal.SIGTERM)
+            process.ask_to_stop()
         for process in self.processes:
             process.stop()
             if process.process.stdout is not None:
--- a/standins/platform/_application.py
+++ b/standins/platform/_application.py
@@ -9,7 +9,7 @@
 
 from tornado import web
 
-from standins.faults import FaultTable
+from standins.faults import Fault, FaultTable
 from standins.platform._state import PlatformOptions, PlatformState, make_chunk
 from standins.server import Journal, drop_connection, make_control_routes
 
@@ -22,7 +22,8 @@
 
     Kinds: ``down`` (no effect, connection dropped), ``slow`` (waits
     ``seconds``), ``lose_answer`` (takes effect, hangs ``seconds``, drops the
-    connection) and ``late_answer`` (takes effect, answers after ``seconds``).
+    connection) and ``late_answer`` (takes effect, answers after ``seconds``). The
+    kind ``lag`` makes the VM list ``seconds`` old from then on.
     """
 
     interface = ""
@@ -250,9 +251,13 @@
         >>> type(make_application()).__name__
         'Application'
     """
-    faults = FaultTable()
-    journal = Journal()
     state = PlatformState(options or PlatformOptions())
+
+    def set_lag(fault: Fault) -> None:
+        state.vms.lag = fault.seconds
+
+    faults = FaultTable({"lag": set_lag})
+    journal = Journal()
     shared = {"state": state, "faults": faults, "journal": journal}
     return web.Application(
         [
--- a/standins/server.py
+++ b/standins/server.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from tornado import httpserver, netutil, web
+from tornado.http1connection import HTTP1Connection
 
 from standins.faults import FaultTable
 
@@ -86,6 +87,13 @@
     handler.detach().close()
 
 
+def send_at_once(handler: web.RequestHandler) -> None:
+    """Turns off Nagle's algorithm, which holds each event back for an ACK."""
+    connection = handler.request.connection
+    if isinstance(connection, HTTP1Connection):
+        connection.stream.set_nodelay(True)
+
+
 def make_argument_parser(name: str) -> argparse.ArgumentParser:
     """Makes a parser with the flags that every stand-in has."""
     parser = argparse.ArgumentParser(prog=f"standins.{name}")
@@ -102,7 +110,9 @@
     return sockets[0].getsockname()[1]
 
 
-def run(make_application: Callable[[], web.Application], address: str, port: int):
+def run(
+    make_application: Callable[[], web.Application], address: str, port: int
+) -> None:
     """Serves until SIGTERM or SIGINT; prints the bound port as a JSON line."""
 
     async def serve() -> None:
--- a/standins/tests/test_standins.py
+++ b/standins/tests/test_standins.py
@@ -177,10 +177,16 @@
     assert processes[1].process.returncode == 0
 
 
-def test_the_platform_stands_in_for_all_routes():
+def test_the_platform_fails_one_interface_and_lags_another():
     async def go():
         url = serve(make_platform())
-        paths = ("/log?first=0", "/vms", "/orders", "/usage", "/weights", "/trainers")
-        return [(await call(url, "GET", path)).code for path in paths]
+        faults = [{"kind": "down", "target": "log"}, {"kind": "lag", "seconds": 60}]
+        await call(url, "POST", "/control/faults", faults)
+        await call(url, "PUT", "/control/vms/a1", {"role": "agent"})
+        with pytest.raises(HTTPStreamClosedError):
+            await call(url, "GET", "/log?first=0")
+        listed = json.loads((await call(url, "GET", "/vms")).body)["vms"]
+        paths = ("/orders", "/usage", "/weights", "/trainers")
+        return listed, [(await call(url, "GET", path)).code for path in paths]
 
-    assert asyncio.run(go()) == [200] * 6
+    assert asyncio.run(go()) == ([], [200] * 4)
