--- a/buckthornstile/samples/_choice.py
+++ b/buckthornstile/samples/_choice.py
@@ -1,6 +1,7 @@
 """Chooses which of a lot's slots to dispatch and which to hedge."""
 
 import heapq
+import itertools
 
 from buckthornstile.base import WeightVersion
 from buckthornstile.samples._actions import DispatchSlot
@@ -25,21 +26,17 @@
     """
     if capacity <= 0:
         return []
-    waiting = [
-        state
-        for state in slots.list_open()
-        if state.is_waiting and state.not_before <= now
-    ]
-    lengths = {
-        group: estimator.estimate_tokens(group)
-        for group in {state.slot.group for state in waiting}
-    }
     # A slot that failed before has lost time already, so it goes first.
-    return heapq.nsmallest(
-        capacity,
-        waiting,
-        key=lambda state: (-state.attempts, -lengths[state.slot.group], state.slot),
+    retried = [state for state in slots.list_retried() if state.not_before <= now]
+    retried.sort(key=lambda state: (-state.attempts, state.slot))
+    chosen = retried[:capacity]
+    left = capacity - len(chosen)
+    fresh = slots.get_fresh()
+    groups = heapq.nsmallest(
+        left, fresh, key=lambda group: (-estimator.estimate_tokens(group), group)
     )
+    ordered = (slot for group in groups for slot in fresh[group])
+    return chosen + [slots[slot] for slot in itertools.islice(ordered, left)]
 
 
 def choose_hedges(
@@ -88,11 +85,10 @@
         now: The time, in seconds.
     """
     longest = 0.0
-    for state in slots.list_open():
-        tokens = estimator.estimate_tokens(state.slot.group)
-        needed = tokens / estimator.tokens_per_second
-        if state.running:
-            needed -= now - min(state.running.values())
+    for group, started in slots.iterate_open_groups():
+        needed = estimator.estimate_tokens(group) / estimator.tokens_per_second
+        if started is not None:
+            needed -= now - started
         longest = max(longest, needed)
     return longest
 
--- a/buckthornstile/samples/_estimates.py
+++ b/buckthornstile/samples/_estimates.py
@@ -39,6 +39,9 @@
         self._sums = [0] * len(specification.groups)
         self._counts = [0] * len(specification.groups)
         self._durations: list[float] = []
+        self._estimates = [
+            group.expected_tokens or group.max_tokens for group in specification.groups
+        ]
 
     @property
     def finished_count(self) -> int:
@@ -58,6 +61,7 @@
         bisect.insort(self._durations, duration)
         speed = tokens / max(duration, _MIN_DURATION_S)
         share = 1 / (len(self._durations) + 1)
+        self._estimates[group] = self._compute_estimate(group)
         if tokens:
             self.tokens_per_second += share * (speed - self.tokens_per_second)
 
@@ -70,11 +74,7 @@
         Returns:
             The mean of the prior and the group's finished samples, in tokens.
         """
-        specification = self.specification.groups[group]
-        prior = specification.expected_tokens or specification.max_tokens
-        total = prior * _PRIOR_WEIGHT + self._sums[group]
-        mean = total / (_PRIOR_WEIGHT + self._counts[group])
-        return max(1, min(specification.max_tokens, round(mean)))
+        return self._estimates[group]
 
     def get_duration_quantile(self, quantile: float) -> float | None:
         """Gives a quantile of the finished samples' durations.
@@ -89,3 +89,10 @@
             return None
         index = min(len(self._durations) - 1, int(quantile * len(self._durations)))
         return self._durations[index]
+
+    def _compute_estimate(self, group: int) -> int:
+        specification = self.specification.groups[group]
+        prior = specification.expected_tokens or specification.max_tokens
+        total = prior * _PRIOR_WEIGHT + self._sums[group]
+        mean = total / (_PRIOR_WEIGHT + self._counts[group])
+        return max(1, min(specification.max_tokens, round(mean)))
--- a/buckthornstile/samples/_lot.py
+++ b/buckthornstile/samples/_lot.py
@@ -148,8 +148,7 @@
         """
         state = self._slots[slot]
         self.counters.hedges += bool(state.running)
-        state.running[request_id] = now
-        state.attempts += 1
+        self._slots.start(state, request_id, now)
         self._requests[request_id] = slot
 
     def on_result(
@@ -197,7 +196,7 @@
         state = self._slots.find(sample.slot)
         if state is None:
             return False
-        state.running.pop(sample.request_id, None)
+        self._slots.stop(state, sample.request_id)
         if not sample.labels or sample.oldest_version < self.minimum_version:
             self.counters.discarded += 1
             return False
@@ -235,7 +234,7 @@
         if slot is None:
             return
         state = self._slots[slot]
-        if state.running.pop(request_id, None) is None:
+        if self._slots.stop(state, request_id) is None:
             return
         if code is ErrorCode.ATTACH_OLD:
             self._supersede()
@@ -330,8 +329,8 @@
         """
         times = [
             state.not_before
-            for state in self._slots.list_open()
-            if state.is_waiting and state.not_before > now
+            for state in self._slots.list_retried()
+            if state.not_before > now
         ]
         return min([self.deadline, *times])
 
--- a/buckthornstile/samples/_slots.py
+++ b/buckthornstile/samples/_slots.py
@@ -1,6 +1,7 @@
 """The slots of a lot: their stages, their attempts and the bytes they hold."""
 
-from collections.abc import Iterable, Iterator
+from collections import Counter
+from collections.abc import Collection, Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -63,10 +64,18 @@
     def __init__(self, slots: Iterable[Slot]) -> None:
         self._states = {slot: SlotState(slot) for slot in slots}
         self._open = dict.fromkeys(self._states)
+        self._open_counts = Counter(slot.group for slot in self._states)
+        # Waiting slots are kept apart by group, so that a choice among them
+        # takes time by groups and not by slots.
+        self._fresh: dict[int, dict[Slot, None]] = {}
+        self._retried: dict[Slot, None] = {}
+        self._latest_starts: dict[int, float] = {}
         self._ready: dict[Slot, None] = {}
         self._acknowledged_count = 0
         self.held_bytes = 0
         self.sent_bytes = 0
+        for state in self._states.values():
+            self._index(state)
 
     def __getitem__(self, slot: Slot) -> SlotState:
         return self._states[slot]
@@ -112,15 +121,49 @@
         """Lists the slots without a sample."""
         return [self._states[slot] for slot in self._open]
 
+    def list_retried(self) -> list[SlotState]:
+        """Lists the waiting slots that have been dispatched before."""
+        return [self._states[slot] for slot in self._retried]
+
+    def get_fresh(self) -> Mapping[int, Collection[Slot]]:
+        """Gives the slots that were never dispatched, by group."""
+        return self._fresh
+
+    def iterate_open_groups(self) -> Iterator[tuple[int, float | None]]:
+        """Yields each group with open slots.
+
+        With it comes the time at which its last slot was started, or None if
+        one of its slots waits.
+        """
+        retried = {slot.group for slot in self._retried}
+        for group, count in self._open_counts.items():
+            waits = group in self._fresh or group in retried
+            if count:
+                yield group, None if waits else self._latest_starts.get(group)
+
     def list_ready(self) -> list[SlotState]:
         """Lists the slots whose samples wait for delivery, oldest first."""
         return [self._states[slot] for slot in self._ready]
 
+    def start(self, state: SlotState, request_id: RequestId, now: float) -> None:
+        """Notes that an attempt of a slot has begun."""
+        if not state.running:
+            self._latest_starts[state.slot.group] = now
+        state.running[request_id] = now
+        state.attempts += 1
+        self._index(state)
+
+    def stop(self, state: SlotState, request_id: RequestId) -> float | None:
+        """Notes that an attempt has ended; gives the time of its start."""
+        started = state.running.pop(request_id, None)
+        self._index(state)
+        return started
+
     def finish(self, state: SlotState, sample: Sample) -> None:
         """Moves an open slot on to delivery."""
         state.stage = SlotStage.FINISHED
         state.sample = sample
-        del self._open[state.slot]
+        self._close(state)
         self._ready[state.slot] = None
         self.held_bytes += state.held_bytes
 
@@ -143,6 +186,8 @@
         self._drop_sample(state)
         state.stage = SlotStage.OPEN
         self._open[state.slot] = None
+        self._open_counts[state.slot.group] += 1
+        self._index(state)
 
     def acknowledge(self, state: SlotState) -> bool:
         """Notes that the trainer has a sample, wherever it came from.
@@ -154,10 +199,30 @@
             return False
         self._drop_sample(state)
         state.stage = SlotStage.ACKNOWLEDGED
-        self._open.pop(state.slot, None)
+        self._close(state)
         self._acknowledged_count += 1
         return True
 
+    def _close(self, state: SlotState) -> None:
+        if state.slot in self._open:
+            del self._open[state.slot]
+            self._open_counts[state.slot.group] -= 1
+        self._index(state)
+
+    def _index(self, state: SlotState) -> None:
+        slot = state.slot
+        self._retried.pop(slot, None)
+        group = self._fresh.get(slot.group)
+        if state.is_waiting and state.attempts:
+            self._retried[slot] = None
+        elif state.is_waiting:
+            self._fresh.setdefault(slot.group, {})[slot] = None
+            return
+        if group is not None:
+            group.pop(slot, None)
+            if not group:
+                del self._fresh[slot.group]
+
     def _drop_sample(self, state: SlotState) -> None:
         if state.stage is SlotStage.SENT:
             self.sent_bytes -= state.held_bytes
