--- a/buckthornstile/entry/_status.py
+++ b/buckthornstile/entry/_status.py
@@ -3,6 +3,8 @@
 from dataclasses import asdict
 from typing import TYPE_CHECKING
 
+from buckthornstile.entry._links import AgentLink
+from buckthornstile.entry._lots import OpenLot
 from buckthornstile.metrics import GaugeName, Gauges, render_metrics
 
 if TYPE_CHECKING:
@@ -26,8 +28,12 @@
         "failure_domain": entry.identity.failure_domain,
         "ready": entry.is_ready,
         "stopping": entry.stopping,
-        "revision": configuration.revision,
-        "configuration_offset": configuration.through,
+        "configuration": {
+            "revision": configuration.revision,
+            "offset": configuration.through,
+            "has_gap": entry.configuration.has_gap,
+        },
+        "agents": [_describe_agent(link) for link in _links(entry) if link.is_up],
         "log_lag": min(entry.log.get_lag(), 1e9),
         "control": asdict(entry.control.make_status(now)),
         "drained": sorted(configuration.drains),
@@ -37,12 +43,19 @@
     }
 
 
-def _links(entry: "Entry") -> list:
+def _links(entry: "Entry") -> list[AgentLink]:
     links = entry.fleet.links
     return [links[name] for name in sorted(links)]
 
 
-def _describe_lot(opened, now: float) -> dict[str, object]:  # type: ignore[no-untyped-def]
+def _describe_agent(link: AgentLink) -> dict[str, object]:
+    return {
+        "process": link.vm.process,
+        "configuration_offset": link.agent_offset,
+    }
+
+
+def _describe_lot(opened: OpenLot, now: float) -> dict[str, object]:
     return {
         "lot": opened.lot.lot_id,
         "attach": opened.lot.attach,
@@ -50,7 +63,7 @@
     }
 
 
-def _describe_link(entry: "Entry", link, now: float) -> dict[str, object]:  # type: ignore[no-untyped-def]
+def _describe_link(entry: "Entry", link: AgentLink, now: float) -> dict[str, object]:
     view = link.view
     return {
         "upstream": view.upstream,
--- a/buckthornstile/entry/_writers.py
+++ b/buckthornstile/entry/_writers.py
@@ -2,6 +2,7 @@
 
 import json
 
+from tornado.http1connection import HTTP1Connection
 from tornado.iostream import StreamClosedError
 from tornado.web import RequestHandler
 
@@ -115,6 +116,10 @@
         self.handler.set_status(started.status)
         self.handler.set_header("Content-Type", started.content_type or EVENT_STREAM)
         self.handler.set_header("Cache-Control", "no-store")
+        # Small events must not wait for the acknowledgement of earlier ones.
+        connection = self.handler.request.connection
+        if isinstance(connection, HTTP1Connection):
+            connection.stream.set_nodelay(True)
 
     async def write(self, data: bytes) -> None:
         """Writes the next bytes.
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -234,10 +234,10 @@
         behind = [
             u
             for u in connected
-            if u["configuration_offset"] < status["configuration_offset"]
+            if u["configuration_offset"] < status["configuration"]["offset"]
         ]
         return (
-            status["revision"] >= revision
+            status["configuration"]["revision"] >= revision
             and len(connected) >= len(self.agents)
             and not behind
         )
