Distribute and swap weights

The lease holder reads the store's manifest, has one agent of each failure domain fetch from the rate-limited store and the others from agents of their own domain, and staggers the swaps by orders with intents. An agent checks the term again after fetching and immediately before it orders its engine, answers an order once it has begun, and does not reload what its engine serves already. Ruled out: answering only when the swap has ended; the answer would outlive the lease.

--- a/buckthornstile/agent/_daemon.py
+++ b/buckthornstile/agent/_daemon.py
@@ -15,6 +15,7 @@
 from buckthornstile.agent._orders import OrderDesk
 from buckthornstile.agent._relay import FlushTimer
 from buckthornstile.agent._scheduler import Scheduler
+from buckthornstile.agent._weights import WeightFetcher
 from buckthornstile.base import (
     UNKNOWN_VERSION,
     BuckthornstileError,
@@ -79,7 +80,22 @@
         if settings.upstream_kind is UpstreamKind.ENGINE:
             engine = upstream  # type: ignore[assignment]
             self.monitor = EngineMonitor(engine, on_change=self._on_engine_change)  # type: ignore[arg-type]
-        self.orders = OrderDesk(engine, read_clock=self.read_clock)
+        self.identity = Identity(
+            settings.process,
+            Role.AGENT,
+            Incarnation(f"{settings.process}-{secrets.token_hex(6)}"),
+            settings.failure_domain,
+            settings.upstream,
+            settings.service,
+        )
+        self.fetcher = WeightFetcher(
+            ports.weights,
+            identity=self.identity,
+            secret=settings.deployment_secret.get_secret_value(),
+        )
+        self.orders = OrderDesk(
+            engine, fetcher=self.fetcher, read_clock=self.read_clock
+        )
         now = self.read_clock()
         self.limit = ConcurrencyLimit(
             now, initial=settings.initial_limit, maximum=settings.maximum_limit
@@ -149,6 +165,7 @@
             queued_tokens=int(scheduler.queue.queued_cost),
             tokens_per_second=scheduler.tokens_per_second,
             term=self.orders.term,
+            fetched_version=self.fetcher.fetched_version,
         )
 
     def _get_state(self) -> str:
@@ -188,6 +205,11 @@
     async def serve_connection(self, connection: Connection) -> None:
         """Serves one entry's connection until it ends."""
         link = EntryLink(self, connection)
+        assert connection.peer is not None
+        if connection.peer.role is Role.AGENT:
+            # Another agent only fetches weights; it needs no heartbeats.
+            await link.serve()
+            return
         self.links.add(link)
         try:
             await link.serve()
@@ -300,19 +322,11 @@
         settings: The agent's settings.
     """
     agent = make_agent(settings)
-    identity = Identity(
-        settings.process,
-        Role.AGENT,
-        Incarnation(f"{settings.process}-{secrets.token_hex(6)}"),
-        settings.failure_domain,
-        settings.upstream,
-        settings.service,
-    )
     if agent.monitor is not None:
         with contextlib.suppress(BuckthornstileError):
             await agent.monitor.read()
     server = PeerServer(
-        identity,
+        agent.identity,
         settings.deployment_secret.get_secret_value(),
         on_connection=agent.serve_connection,
         on_refusal=agent.count_refusal,
--- a/buckthornstile/agent/_links.py
+++ b/buckthornstile/agent/_links.py
@@ -173,7 +173,7 @@
 
 @handle_message.register
 def _(message: WeightRequest, link: EntryLink) -> None:
-    link.connection.send(link.agent.orders.get_chunk(message))
+    link.connection.send(link.agent.fetcher.get_chunk(message))
 
 
 @handle_message.register
--- a/buckthornstile/agent/_orders.py
+++ b/buckthornstile/agent/_orders.py
@@ -4,6 +4,7 @@
 from collections import OrderedDict
 from collections.abc import Callable
 
+from buckthornstile.agent._weights import WeightFetcher
 from buckthornstile.base import (
     NO_TERM,
     BuckthornstileError,
@@ -16,10 +17,11 @@
     Connection,
     Order,
     OrderResult,
-    WeightChunk,
-    WeightRequest,
 )
 
+FETCH_ACTION = "fetch_version"
+LOAD_ACTION = "load_version"
+ACTIONS = frozenset({FETCH_ACTION, LOAD_ACTION})
 MAX_REMEMBERED_ORDERS = 1024
 
 
@@ -28,13 +30,19 @@
 
     Args:
         engine: The engine, or None beside a plain service.
+        fetcher: Fetches weights.
         read_clock: Gives the time, in seconds.
     """
 
     def __init__(
-        self, engine: EnginePort | None, *, read_clock: Callable[[], float]
+        self,
+        engine: EnginePort | None,
+        *,
+        fetcher: WeightFetcher,
+        read_clock: Callable[[], float],
     ) -> None:
         self.engine = engine
+        self.fetcher = fetcher
         self.read_clock = read_clock
         self.term = NO_TERM
         self.loading = False
@@ -59,21 +67,38 @@
     async def _answer(
         self, order: Order, connection: Connection, arrived_at: float
     ) -> None:
+        work = asyncio.create_task(self._try(order, arrived_at))
+        await asyncio.wait([work], timeout=order.timeout)
+        # An order that has begun is answered before it is finished: the holder
+        # sees its end in heartbeats, and must not wait longer than its lease.
+        begun = OrderResult(order.order_id, order.term, accepted=True)
+        result = work.result() if work.done() else begun
+        if not connection.closed:
+            connection.send(result)
+        await work
+
+    async def _try(self, order: Order, arrived_at: float) -> OrderResult:
         try:
-            result = await self._carry_out(order, arrived_at)
+            return await self._carry_out(order, arrived_at)
         except BuckthornstileError as error:
-            result = OrderResult(
+            return OrderResult(
                 order.order_id, order.term, False, error.code, error.message
             )
-        if not connection.closed:
-            connection.send(result)
 
     async def _carry_out(self, order: Order, arrived_at: float) -> OrderResult:
+        if order.action == FETCH_ACTION:
+            # It only prepares, so that it may run beside a swap.
+            self._check(order, arrived_at)
+            self.fetcher.begin(order.version, order.source, order.source_port)
+            return OrderResult(order.order_id, order.term, accepted=True)
         async with self._lock:
             done = self._results.get(order.order_id)
             if done is not None:
                 return done
             self._check(order, arrived_at)
+            await self.fetcher.wait_fetched(order.version)
+            # Another holder may have come, or the time to begin passed.
+            self._check(order, arrived_at)
             await self._load(order)
             result = OrderResult(order.order_id, order.term, accepted=True)
             self._results[order.order_id] = result
@@ -92,13 +117,16 @@
             raise BuckthornstileError(
                 ErrorCode.ORDER_LATE, "the order's time to begin has passed"
             )
-        if order.action != "load_version" or self.engine is None:
+        if order.action not in ACTIONS or self.engine is None:
             raise BuckthornstileError(
                 ErrorCode.ORDER_UNKNOWN, f"no order {order.action!r} is known here"
             )
 
     async def _load(self, order: Order) -> None:
         assert self.engine is not None
+        state = await self.engine.read_state()
+        if state.version == order.version:
+            return
         self.loading = True
         try:
             await self.engine.load_version(order.version, term=order.term)
@@ -108,7 +136,3 @@
             raise
         finally:
             self.loading = False
-
-    def get_chunk(self, request: WeightRequest) -> WeightChunk:
-        """Gives one chunk of weights, if this agent has it."""
-        return WeightChunk(request.version, request.index, code=ErrorCode.NO_UPSTREAM)
--- a/buckthornstile/entry/_daemon.py
+++ b/buckthornstile/entry/_daemon.py
@@ -28,6 +28,7 @@
 from buckthornstile.entry._calls import Call, authenticate_call, parse_call
 from buckthornstile.entry._changes import ChangeLog
 from buckthornstile.entry._dispatcher import Dispatcher
+from buckthornstile.entry._duties import WeightDuty
 from buckthornstile.entry._fleet import Fleet
 from buckthornstile.entry._handlers import make_application
 from buckthornstile.entry._links import AgentLink
@@ -122,6 +123,7 @@
             self._send_agent_order,
             listeners=[self._on_record],
         )
+        self.weights = WeightDuty(self)
         self._sequence = 0
         self._agent_term = NO_TERM
         self._holder = ""
@@ -272,7 +274,10 @@
             result = await link.send_order(message, order.timeout)
         except (BuckthornstileError, TimeoutError):
             return OrderAnswer.UNKNOWN
-        return OrderAnswer.DONE if result.accepted else OrderAnswer.REFUSED
+        if result.accepted:
+            return OrderAnswer.DONE
+        self.weights.on_refused(order.upstream)
+        return OrderAnswer.REFUSED
 
     async def follow_vm_list(self) -> None:
         """Reads the VM list again and again; an outage changes nothing."""
@@ -383,6 +388,7 @@
         asyncio.create_task(entry.lots.run()),
         asyncio.create_task(entry.append_usage()),
         asyncio.create_task(entry.watch_control()),
+        asyncio.create_task(entry.weights.run()),
     ]
     print(json.dumps({"ready": True, "port": port}), flush=True)
     await stopping.wait()
--- a/buckthornstile/entry/_status.py
+++ b/buckthornstile/entry/_status.py
@@ -36,6 +36,10 @@
         "agents": [_describe_agent(link) for link in _links(entry) if link.is_up],
         "log_lag": min(entry.log.get_lag(), 1e9),
         "control": asdict(entry.control.make_status(now)),
+        "weights": {
+            "target": entry.weights.target,
+            "behind": entry.weights.list_behind(),
+        },
         "drained": sorted(configuration.drains),
         "open_calls": entry.admission.open,
         "lots": [_describe_lot(opened, now) for opened in entry.lots.open.values()],
--- a/buckthornstile/routing/_views.py
+++ b/buckthornstile/routing/_views.py
@@ -45,6 +45,7 @@
         sent: This entry's own requests since the last heartbeat.
         sent_tokens: Their expected work.
         finished: This entry's own requests that ended since the last heartbeat.
+        fetched_version: The newest weights that its agent holds whole.
 
     Example:
         >>> view = UpstreamView("u1", "shop-desk", "bench-a")
@@ -70,6 +71,7 @@
     sent: int = 0
     sent_tokens: float = 0.0
     finished: int = 0
+    fetched_version: WeightVersion = UNKNOWN_VERSION
 
     def on_heartbeat(self, heartbeat: Heartbeat, now: float) -> None:
         """Takes over what a heartbeat says.
@@ -91,6 +93,7 @@
         self.queued_tokens = heartbeat.queued_tokens
         self.tokens_per_second = heartbeat.tokens_per_second
         self.version = heartbeat.version
+        self.fetched_version = heartbeat.fetched_version
         self.engine_incarnation = heartbeat.engine_incarnation
         self.sent = 0
         self.finished = 0
--- a/buckthornstile/weights/_swap.py
+++ b/buckthornstile/weights/_swap.py
@@ -69,6 +69,8 @@
         order_timeout: Seconds after which an order counts as failed.
         retry_delay: Seconds before a failed upstream's next order; doubles.
         maximum_retry_delay: The greatest such delay, in seconds.
+        wait_until_ready: Whether to order no upstream whose agent still lacks
+            the weights, since fetching would keep it out for longer.
 
     Example:
         >>> SwapPolicy().maximum_share
@@ -79,6 +81,7 @@
     order_timeout: float = 60.0
     retry_delay: float = 1.0
     maximum_retry_delay: float = 30.0
+    wait_until_ready: bool = False
 
     def __post_init__(self) -> None:
         check_range("maximum_share", self.maximum_share, minimum=0.0, maximum=1.0)
@@ -243,7 +246,8 @@
         for report in reports:
             progress = self._progress.setdefault(report.upstream, _Progress())
             waits = self._is_ordered(report) or progress.not_before > now
-            if report.version < self.target and not waits:
+            lacks = self.policy.wait_until_ready and not report.ready
+            if report.version < self.target and not waits and not lacks:
                 candidates.append(report)
         return sorted(
             candidates,
--- a/buckthornstile/wire/_messages.py
+++ b/buckthornstile/wire/_messages.py
@@ -284,6 +284,7 @@
         tokens_per_second: The upstream's recent speed.
         term: The newest control term that the sender knows.
         log_lag: Seconds since the sender last stood at the log's end.
+        fetched_version: The newest weights that the agent holds whole.
     """
 
     sequence: int
@@ -299,6 +300,7 @@
     tokens_per_second: float = 0.0
     term: Term = NO_TERM
     log_lag: float = 0.0
+    fetched_version: WeightVersion = UNKNOWN_VERSION
 
 
 @dataclass(frozen=True, slots=True)
@@ -370,7 +372,7 @@
     Args:
         order_id: The order's idempotency key.
         term: The holder's term; an older one than the agent knows is refused.
-        action: ``load_version`` or ``drain``.
+        action: ``fetch_version`` or ``load_version``.
         version: The weights to load.
         timeout: Seconds within which the agent may still begin.
         source: The IP number of the agent to fetch the weights from, or empty
@@ -400,7 +402,11 @@
 
 @dataclass(frozen=True, slots=True)
 class WeightRequest:
-    """Asks another agent for one chunk of weights."""
+    """Asks another agent for one chunk of weights.
+
+    Index 0 is the manifest's: its data are the digests, one a line, behind the
+    bytes of a chunk. Chunk ``n`` has index ``n + 1``.
+    """
 
     version: WeightVersion
     index: int
--- a/buckthornstile/wire/messages.capnp
+++ b/buckthornstile/wire/messages.capnp
@@ -137,6 +137,7 @@
   tokensPerSecond @10 :Float64;
   term @11 :Int64;
   logLag @12 :Float64;
+  fetchedVersion @13 :Int64;
 }
 
 struct Relay {
