Let a restarted trainer get its lot whole

Cause: a trainer that lost its state attached with an empty received set, but its earlier acknowledgements stood, so the lot ended without those samples; an acknowledgement of the earlier life that came late did the same. Change: an attach's received set is the truth and reopens other acknowledged slots; acknowledgements of an older attach are passed over; a failed lot goes on when its trainer attaches again. Shown: the state machine restarts the trainer; with either part off it finds the stall. Answers in chunks are covered, whole and cut.

--- a/buckthornstile/client/tests/answers.feature
+++ b/buckthornstile/client/tests/answers.feature
@@ -18,6 +18,8 @@
       | closes without an answer     | an idempotent call    | the whole answer                      | 2        |
       | cuts the answer short        | a non-idempotent call | upstream.answer_truncated and may_have_run | 1   |
       | cuts the answer short        | an idempotent call    | the whole answer                      | 2        |
+      | answers in chunks            | a non-idempotent call | the whole answer                      | 1        |
+      | cuts an answer in chunks     | a non-idempotent call | upstream.answer_truncated and may_have_run | 1   |
       | declares no length           | a non-idempotent call | upstream.answer_truncated and may_have_run | 1   |
 
   Scenario Outline: A stream fails after its first event
--- a/buckthornstile/client/tests/fakes.py
+++ b/buckthornstile/client/tests/fakes.py
@@ -14,6 +14,10 @@
     return HEAD.format(status, declared).encode() + body
 
 
+def make_chunked(body):
+    return HEAD.format(200, "Transfer-Encoding: chunked\r\n").encode() + body
+
+
 def make_refusal(status, code, verdict):
     error = {"code": code, "message": "no", "verdict": verdict}
     return make_whole(status, json.dumps({"error": error}).encode())
--- a/buckthornstile/client/tests/test_answers.py
+++ b/buckthornstile/client/tests/test_answers.py
@@ -32,6 +32,8 @@
     "refuses the key": fakes.make_refusal(401, "key.withdrawn", "not_run"),
     "closes without an answer": b"",
     "cuts the answer short": fakes.make_whole(200, b"do", length=4),
+    "answers in chunks": fakes.make_chunked(b"4\r\ndone\r\n0\r\n\r\n"),
+    "cuts an answer in chunks": fakes.make_chunked(b"4\r\ndone\r\n"),
     "declares no length": fakes.make_stream(b"done"),
     "ends the stream without a word": fakes.make_stream(fakes.EVENT),
     "ends the stream with a wrong digest": fakes.make_stream(
--- a/buckthornstile/samples/_lot.py
+++ b/buckthornstile/samples/_lot.py
@@ -125,9 +125,12 @@
         self.attach = attach
         self._completed = False
         self.superseded = False
+        self.failed = False
         self.on_trainer_version(trainer_version)
         self._acknowledge(received)
         self._slots.unsend_all()
+        # A trainer that has restarted has lost what its earlier life received.
+        self._slots.reopen_all_but(frozenset(received))
         return cut
 
     def on_trainer_version(self, version: int) -> None:
@@ -259,18 +262,23 @@
             self._slots.discard(state)
             self.counters.discarded += 1
 
-    def on_acknowledge(self, slots: Iterable[Slot]) -> None:
+    def on_acknowledge(
+        self, slots: Iterable[Slot], *, attach: int | None = None
+    ) -> None:
         """Takes in the slots whose samples the trainer has.
 
         Args:
             slots: The slots; unknown ones are refused whole.
+            attach: The attach number that came with them; an older one than the
+                newest says nothing that its received set did not say better.
 
         Raises:
             BuckthornstileError: With ``LOT_INVALID`` for an unknown slot.
         """
         slots = tuple(slots)
         self._slots.check(slots)
-        self._acknowledge(slots)
+        if attach is None or attach >= self.attach:
+            self._acknowledge(slots)
 
     def decide(
         self, now: float, *, capacity: int, idle_capacity: int = 0
@@ -283,8 +291,7 @@
         Args:
             now: The time, in seconds.
             capacity: Slots that may be dispatched now.
-            idle_capacity: Further dispatches that no other request waits for;
-                only these are used for hedging.
+            idle_capacity: Hedges that may be dispatched on idle upstreams.
 
         Returns:
             The actions, in the order in which to carry them out.
@@ -310,13 +317,10 @@
         return actions
 
     def get_slack(self, now: float) -> float:
-        """Gives the seconds that the lot can spare.
+        """Gives the seconds to the deadline, less the longest expected slot.
 
         Args:
             now: The time, in seconds.
-
-        Returns:
-            The time until the deadline, less the longest expected slot.
         """
         remaining = estimate_remaining(self._slots, self.estimator, now=now)
         return self.deadline - now - remaining
--- a/buckthornstile/samples/_slots.py
+++ b/buckthornstile/samples/_slots.py
@@ -181,6 +181,13 @@
                 state.stage = SlotStage.FINISHED
                 self._ready[state.slot] = None
 
+    def reopen_all_but(self, received: Collection[Slot]) -> None:
+        """Reopens acknowledged slots that the trainer says it has not."""
+        for state in self._states.values():
+            if state.stage is SlotStage.ACKNOWLEDGED and state.slot not in received:
+                self._acknowledged_count -= 1
+                self.discard(state)
+
     def discard(self, state: SlotState) -> None:
         """Drops a slot's sample, so that it is made again."""
         self._drop_sample(state)
--- a/buckthornstile/samples/tests/test_delivery.py
+++ b/buckthornstile/samples/tests/test_delivery.py
@@ -103,6 +103,11 @@
     def kill_an_entry(self, entry):
         self.world.entries[entry].kill()
 
+    @rule(entry=ENTRIES)
+    def the_trainer_restarts(self, entry):
+        self.world.restart_trainer()
+        self.world.attach(self.world.entries[entry])
+
     def teardown(self):
         if hasattr(self, "world"):
             self.world.run_calmly()
@@ -173,7 +178,24 @@
         return super().on_attach(attach, received, trainer_version, now)
 
 
+class LotThatKeepsAcknowledgements(Lot):
+    """Does not believe a trainer that has lost its samples."""
+
+    def on_attach(self, *arguments):
+        self._slots.reopen_all_but = lambda received: None
+        return super().on_attach(*arguments)
+
+
+class LotWithLateAcknowledgements(Lot):
+    """Takes acknowledgements of an earlier attach."""
+
+    def on_acknowledge(self, slots, *, attach=None):
+        super().on_acknowledge(slots)
+
+
 NAIVE = {
+    "acknowledgements for ever": {"make_lot": LotThatKeepsAcknowledgements},
+    "late acknowledgements": {"make_lot": LotWithLateAcknowledgements},
     "labels by the state before": {"make_tracker": LabelByStateBefore},
     "no removal of duplicates": {"make_received": ReceivedWithoutDuplicates},
     "bound at start only": {
--- a/buckthornstile/samples/tests/world.py
+++ b/buckthornstile/samples/tests/world.py
@@ -191,7 +191,7 @@
         if receipt is Receipt.NEW:
             self.check(line)
         if receipt is not Receipt.TOO_OLD:
-            self.acknowledgements.append(line.slot)
+            self.acknowledgements.append((line.slot, attach))
         else:
             self.aged += 1
 
@@ -212,10 +212,10 @@
     def acknowledge(self, *, lost=False):
         if not self.acknowledgements or self.stream is None:
             return
-        slot = self.acknowledgements.pop(0)
+        slot, attach = self.acknowledgements.pop(0)
         lot = self.stream[0].lot
         if lot is not None and not lost:
-            lot.on_acknowledge([slot])
+            lot.on_acknowledge([slot], attach=attach)
 
     def advance(self, *, lost=False):
         self.version += 1
@@ -223,6 +223,17 @@
         if not lost and self.stream is not None and self.stream[0].lot is not None:
             self.stream[0].lot.on_trainer_version(self.version)
 
+    def restart_trainer(self):
+        """Starts another life, with nothing received; old news stays on its way."""
+        first_attach = self.received.next_attach
+        self.received = self.make_received(
+            self.specification, first_attach=first_attach
+        )
+        self.received.on_trainer_version(self.version)
+        self.taken = []
+        self.wire = []
+        self.stream = None
+
     # Entries and agents
 
     def decide(self, entry, *, capacity=2, idle_capacity=1, choose=None):
