Keep odd texts whole on a lot's stream; check manifests

Cause: the two ends of the stream parsed JSON by different libraries. Half a surrogate pair, which an engine that cuts a character may make, passed one and not the other, so that the trainer would have attached again without end. Change: both ends use the same parser and the body is not copied by the model; a body that cannot be a line is a coded error, for which the lot runs the slot again. A manifest must have a digest for each chunk or for none.

--- a/buckthornstile/samples/_lines.py
+++ b/buckthornstile/samples/_lines.py
@@ -5,7 +5,7 @@
 from functools import singledispatch
 from typing import Annotated, Any
 
-from pydantic import BaseModel, ConfigDict, Field, TypeAdapter, ValidationError
+from pydantic import BaseModel, ConfigDict, Field
 
 from buckthornstile.base import BuckthornstileError, ErrorCode, Verdict
 from buckthornstile.samples._actions import Sample
@@ -89,9 +89,6 @@
     error: ErrorLine | None = None
 
 
-_ADAPTER = TypeAdapter(_Envelope)
-
-
 def _encode_canonical(body: object) -> bytes:
     text = json.dumps(body, sort_keys=True, separators=(",", ":"))
     return text.encode()
@@ -133,19 +130,21 @@
     """
     try:
         body = json.loads(sample.body)
+        line = SampleLine(
+            group=sample.slot.group,
+            index=sample.slot.index,
+            body=body,
+            digest=digest_body(body),
+            labels=tuple((r.first, r.last, r.version) for r in sample.labels),
+            request_id=sample.request_id,
+        )
+        return encode_line(line)
     except (ValueError, RecursionError) as error:
-        raise _make_malformed("a sample's body is not JSON") from error
-    if not isinstance(body, dict):
-        raise _make_malformed("a sample's body is not a JSON object")
-    line = SampleLine(
-        group=sample.slot.group,
-        index=sample.slot.index,
-        body=body,
-        digest=digest_body(body),
-        labels=tuple((r.first, r.last, r.version) for r in sample.labels),
-        request_id=sample.request_id,
-    )
-    return encode_line(line)
+        raise BuckthornstileError(
+            ErrorCode.BODY_MALFORMED,
+            "a sample's body is not a JSON object",
+            verdict=Verdict.MAY_HAVE_RUN,
+        ) from error
 
 
 def encode_line(line: Line) -> bytes:
@@ -171,7 +170,10 @@
 
 @_wrap.register
 def _(line: SampleLine) -> dict[str, object]:
-    return {"sample": line.model_dump(mode="json")}
+    # The body is kept as it is: it may hold half of a surrogate pair, which an
+    # engine that cuts a character makes.
+    fields = line.model_dump(mode="json", exclude={"body"})
+    return {"sample": {**fields, "body": line.body}}
 
 
 @_wrap.register
@@ -206,8 +208,8 @@
         3
     """
     try:
-        envelope = _ADAPTER.validate_json(data)
-    except ValidationError as error:
+        envelope = _Envelope.model_validate(json.loads(data))
+    except (ValueError, RecursionError) as error:
         raise _make_truncated() from error
     heartbeat = HeartbeatLine() if envelope.heartbeat else None
     line = envelope.sample or heartbeat or envelope.end or envelope.error
@@ -216,12 +218,6 @@
     return line
 
 
-def _make_malformed(message: str) -> BuckthornstileError:
-    return BuckthornstileError(
-        ErrorCode.BODY_MALFORMED, message, verdict=Verdict.MAY_HAVE_RUN
-    )
-
-
 def _make_truncated() -> BuckthornstileError:
     return BuckthornstileError(
         ErrorCode.ANSWER_TRUNCATED,
--- a/buckthornstile/weights/_cache.py
+++ b/buckthornstile/weights/_cache.py
@@ -53,7 +53,14 @@
 
         Args:
             manifest: The version's chunks and digests.
+
+        Raises:
+            BuckthornstileError: With ``RECORD_MALFORMED`` if the manifest does
+                not have a digest for each chunk or for none.
         """
+        digests = len(manifest.digests)
+        if manifest.chunk_count < 1 or digests not in (0, manifest.chunk_count):
+            self._reject(ErrorCode.RECORD_MALFORMED, "the manifest is malformed")
         if manifest.version in self._versions:
             return
         self._versions[manifest.version] = _Version(manifest)
--- a/buckthornstile/weights/tests/test_weights.py
+++ b/buckthornstile/weights/tests/test_weights.py
@@ -180,6 +180,8 @@
 def test_a_wrong_chunk_is_refused_and_a_partial_version_is_passed_on():
     cache = WeightCache()
     chunks = [b"abcd", b"efgh", b"ij"]
+    with pytest.raises(BuckthornstileError):
+        cache.begin(WeightManifest(1, 3, 4, ("00",)))
     cache.begin(WeightManifest(1, 3, 4, tuple(map(hash_chunk, chunks))))
     for index, data in [(0, b"abcx"), (1, b"efg"), (2, b"ijklm"), (3, b"")]:
         with pytest.raises(BuckthornstileError):
