Keep a seal's sum and merge old recovered usage

Change: the fold keeps the running sum of unsealed usage and takes off what is later than the seal; a silent entry's recovered requests are merged into ranges and sums two seals later. Ruled out: dropping them (an entry that was only thought gone may still append).

--- a/benchmarks/fold.py
+++ b/benchmarks/fold.py
@@ -112,7 +112,7 @@
 def make_seal(fold: ControlFold, index: int) -> Record:
     """Makes the next window's seal."""
     seal = plan_seal(
-        fold.usage, 1e6 + index * 60, term=fold.lease.term, through=fold.offset
+        fold.usage, 1e6 + index * 120, term=fold.lease.term, through=fold.offset
     )
     assert seal is not None
     return seal
@@ -129,7 +129,7 @@
     yield make_renewal, RECORDS
     yield make_batch, RECORDS
     yield make_recovery, RECORDS // 10
-    yield make_seal, 1
+    yield make_seal, 4
     yield make_intent, 600
     yield make_outcome, 600
     yield make_snapshot, 5
--- a/buckthornstile/control/tests/naive.py
+++ b/buckthornstile/control/tests/naive.py
@@ -103,12 +103,12 @@
     """Adds every batch and recovery, whatever was counted before."""
 
     def _apply_batch(self, offset, batch):
-        self._unsealed.append((offset, UsageTotals(batch.lines)))
+        self._add_unsealed(offset, UsageTotals(batch.lines))
         return True
 
     def _apply_recovery(self, offset, recovery):
         lines = [request.line for request in recovery.requests]
-        self._unsealed.append((offset, UsageTotals(lines)))
+        self._add_unsealed(offset, UsageTotals(lines))
         return True
 
 
@@ -118,6 +118,8 @@
     def _apply_batch(self, offset, batch):
         entry = self._get_entry(batch.entry)
         entry.recovered = {}
+        entry.merged = RangeSet()
+        entry.merged_totals = UsageTotals()
         return super()._apply_batch(offset, batch)
 
 
--- a/buckthornstile/usage/_fold.py
+++ b/buckthornstile/usage/_fold.py
@@ -32,6 +32,9 @@
 DEFAULT_RETIRE_AFTER_SEALS = 1440
 """Seals after which a silent entry's ranges are forgotten."""
 
+DEFAULT_MERGE_AFTER_SEALS = 2
+"""Seals after which a silent entry's recovered requests are merged."""
+
 
 class _EntryUsage:
     """One entry's covered counters and the recovered ones beside them."""
@@ -40,6 +43,8 @@
         self.entry = state.entry
         self.covered = RangeSet(state.ranges)
         self.recovered = {r.counter: r.line for r in state.recovered}
+        self.merged = RangeSet(state.merged_ranges)
+        self.merged_totals = make_signed_totals(state.merged_lines)
         self.last_seal = state.last_seal
 
     def make_state(self) -> EntryUsageState:
@@ -48,12 +53,30 @@
             entry=self.entry,
             ranges=self.covered.ranges,
             recovered=tuple(RecoveredUsage(counter=c, line=x) for c, x in recovered),
+            merged_ranges=self.merged.ranges,
+            merged_lines=make_signed_lines(self.merged_totals),
             last_seal=self.last_seal,
         )
 
-    def take_recovered(self, first: int, last: int) -> list[UsageLine]:
+    def is_counted(self, counter: int) -> bool:
+        is_recovered = counter in self.recovered or counter in self.merged
+        return is_recovered or counter in self.covered
+
+    def take_recovered(self, first: int, last: int) -> UsageTotals:
         counters = [c for c in self.recovered if first <= c <= last]
-        return [self.recovered.pop(counter) for counter in counters]
+        taken = UsageTotals([self.recovered.pop(counter) for counter in counters])
+        if self.merged.overlaps(first, last):
+            # The entry lives after all: its batches will cover all the others too.
+            taken.merge(self.merged_totals)
+            self.merged = RangeSet()
+            self.merged_totals = UsageTotals()
+        return taken
+
+    def merge_recovered(self) -> None:
+        for counter in self.recovered:
+            self.merged.add(counter, counter)
+        self.merged_totals.add(self.recovered.values())
+        self.recovered = {}
 
 
 class UsageFold:
@@ -61,6 +84,8 @@
 
     Args:
         retire_after_seals: Seals after which a silent entry is forgotten.
+        merge_after_seals: Seals after which a silent entry's recovered requests
+            are merged into ranges and sums.
 
     Attributes:
         last_seal: Where the last accepted seal ended, or None.
@@ -80,13 +105,20 @@
         2
     """
 
-    def __init__(self, *, retire_after_seals: int = DEFAULT_RETIRE_AFTER_SEALS) -> None:
+    def __init__(
+        self,
+        *,
+        retire_after_seals: int = DEFAULT_RETIRE_AFTER_SEALS,
+        merge_after_seals: int = DEFAULT_MERGE_AFTER_SEALS,
+    ) -> None:
         self.retire_after_seals = retire_after_seals
+        self.merge_after_seals = merge_after_seals
         self.last_seal: SealMark | None = None
         self.unreported: deque[UsageSeal] = deque()
         self._entries: dict[Incarnation, _EntryUsage] = {}
         self._unsealed: deque[tuple[Offset, UsageTotals]] = deque()
         self._carried = UsageTotals()
+        self._sum = UsageTotals()
         self._seal_count = 0
 
     @property
@@ -171,6 +203,9 @@
             (usage.offset, make_signed_totals(usage.lines)) for usage in state.unsealed
         )
         self._carried = make_signed_totals(state.carried)
+        self._sum = make_signed_totals(state.carried)
+        for _, totals in self._unsealed:
+            self._sum.merge(totals)
         self.last_seal = state.last_seal
         self._seal_count = state.seal_count
         self.unreported = deque(state.unreported)
@@ -191,8 +226,8 @@
         totals = UsageTotals(batch.lines)
         for first, last in batch.ranges:
             entry.covered.add(first, last)
-            totals.subtract(entry.take_recovered(first, last))
-        self._unsealed.append((offset, totals))
+            totals.merge(entry.take_recovered(first, last), sign=-1)
+        self._add_unsealed(offset, totals)
         return True
 
     def _apply_recovery(self, offset: Offset, recovery: UsageRecovery) -> bool:
@@ -201,19 +236,22 @@
         accepted = False
         for request in recovery.requests:
             counter = request.counter
-            if counter in entry.covered or counter in entry.recovered:
+            if entry.is_counted(counter):
                 continue
             entry.recovered[counter] = request.line
             totals.add([request.line])
             accepted = True
         if accepted:
-            self._unsealed.append((offset, totals))
+            self._add_unsealed(offset, totals)
         return accepted
 
     def _apply_seal(self, offset: Offset, seal: UsageSeal, term: Term) -> bool:
         if not self._is_valid(offset, seal, term):
             return False
-        self._carried = self._sum_through(seal.through).make_remainder()
+        sealed = self._sum_through(seal.through)
+        self._carried = sealed.make_remainder()
+        self._sum.merge(sealed, sign=-1)
+        self._sum.merge(self._carried)
         while self._unsealed and self._unsealed[0][0] <= seal.through:
             self._unsealed.popleft()
         self.last_seal = SealMark(
@@ -241,20 +279,33 @@
                 return True
         return False
 
+    def _add_unsealed(self, offset: Offset, totals: UsageTotals) -> None:
+        self._unsealed.append((offset, totals))
+        self._sum.merge(totals)
+
     def _sum_through(self, through: Offset) -> UsageTotals:
+        # A seal covers nearly all that is unsealed, so take off what is later.
         totals = UsageTotals()
-        totals.merge(self._carried)
-        for offset, added in self._unsealed:
-            if offset > through:
+        totals.merge(self._sum)
+        for offset, added in reversed(self._unsealed):
+            if offset <= through:
                 break
-            totals.merge(added)
+            totals.merge(added, sign=-1)
         return totals
 
     def _retire_entries(self) -> None:
+        self._merge_recovered()
         oldest = self._seal_count - self.retire_after_seals
         for entry in [e for e in self._entries.values() if e.last_seal < oldest]:
             del self._entries[entry.entry]
 
+    def _merge_recovered(self) -> None:
+        # One by one they would make a snapshot larger than a record may be.
+        oldest = self._seal_count - self.merge_after_seals
+        for entry in self._entries.values():
+            if entry.recovered and entry.last_seal <= oldest:
+                entry.merge_recovered()
+
 
 def _are_separate(ranges: tuple[tuple[int, int], ...]) -> bool:
     previous = -1
--- a/buckthornstile/usage/_state.py
+++ b/buckthornstile/usage/_state.py
@@ -36,9 +36,26 @@
         return WindowStart(self.window + self.duration)
 
 
+class SignedLine(_State):
+    """A usage line whose amounts may be negative."""
+
+    account: AccountId
+    service: ServiceName
+    request_class: RequestClass
+    amounts: tuple[int, int, int]
+
+
 class EntryUsageState(_State):
     """What the log holds of one entry's usage.
 
+    Args:
+        entry: The entry's incarnation.
+        ranges: Counters that its batches cover.
+        recovered: Recovered requests that no batch covers, one by one.
+        merged_ranges: Counters of older ones, merged.
+        merged_lines: Their sums.
+        last_seal: The count of seals at its last record.
+
     Example:
         >>> EntryUsageState(entry="e1-1").ranges
         ()
@@ -47,18 +64,11 @@
     entry: Incarnation
     ranges: tuple[tuple[int, int], ...] = ()
     recovered: tuple[RecoveredUsage, ...] = ()
+    merged_ranges: tuple[tuple[int, int], ...] = ()
+    merged_lines: tuple[SignedLine, ...] = ()
     last_seal: int = 0
 
 
-class SignedLine(_State):
-    """A usage line whose amounts may be negative."""
-
-    account: AccountId
-    service: ServiceName
-    request_class: RequestClass
-    amounts: tuple[int, int, int]
-
-
 class OffsetUsage(_State):
     """The usage that one record of the log added."""
 
--- a/buckthornstile/usage/_totals.py
+++ b/buckthornstile/usage/_totals.py
@@ -70,9 +70,13 @@
         for line in lines:
             self._add(_make_key(line), _make_amount(line), -1)
 
-    def merge(self, other: "UsageTotals") -> None:
+    def merge(self, other: "UsageTotals", *, sign: int = 1) -> None:
         """Adds another object's sums.
 
+        Args:
+            other: The other object.
+            sign: 1 to add, -1 to subtract.
+
         Example:
             >>> totals = UsageTotals()
             >>> totals.merge(UsageTotals())
@@ -80,7 +84,7 @@
             0
         """
         for key, amount in other.amounts.items():
-            self._add(key, amount, 1)
+            self._add(key, amount, sign)
 
     def make_lines(self) -> tuple[UsageLine, ...]:
         """Makes lines of the positive sums, in an order all processes agree on.
