--- a/buckthornstile/control/tests/naive.py
+++ b/buckthornstile/control/tests/naive.py
@@ -99,16 +99,25 @@
         return super()._decide_open(order, now, term, term_since)
 
 
+class UnsettledPlanner(OrderPlanner):
+    """Believes the platform's list while the order may still be in flight."""
+
+    def on_answer(self, order_id, answer, now):
+        super().on_answer(order_id, answer, now)
+        if order_id in self._unknown_until:
+            self._unknown_until[order_id] = now
+
+
 class RangelessFold(UsageFold):
     """Adds every batch and recovery, whatever was counted before."""
 
     def _apply_batch(self, offset, batch):
-        self._unsealed.append((offset, UsageTotals(batch.lines)))
+        self._add_unsealed(offset, UsageTotals(batch.lines))
         return True
 
     def _apply_recovery(self, offset, recovery):
         lines = [request.line for request in recovery.requests]
-        self._unsealed.append((offset, UsageTotals(lines)))
+        self._add_unsealed(offset, UsageTotals(lines))
         return True
 
 
@@ -118,6 +127,8 @@
     def _apply_batch(self, offset, batch):
         entry = self._get_entry(batch.entry)
         entry.recovered = {}
+        entry.merged = RangeSet()
+        entry.merged_totals = UsageTotals()
         return super()._apply_batch(offset, batch)
 
 
