Keep connections to upstreams where a crossed answer would show

Ruled out: keeping connections to all upstreams; a service that does not name the request in its answer could cross two answers unseen, and a kept connection that dies turns an order's verdict into MAY_HAVE_RUN. Change: calls that may be repeated share connections to upstreams that echo the request id; an idle connection with unread bytes is closed; all others are fresh. Shown: without the condition on the echo 1 test fails, without the check of the echo and of unread bytes 4.

--- a/buckthornstile/agent/_calls.py
+++ b/buckthornstile/agent/_calls.py
@@ -56,6 +56,7 @@
         stream=dispatch.stream,
         priority=PRIORITIES[dispatch.request_class],
         timeout=max(request.deadline - now, 0.0),
+        idempotent=dispatch.idempotent,
     )
 
 
--- a/buckthornstile/ports/_ports.py
+++ b/buckthornstile/ports/_ports.py
@@ -228,6 +228,7 @@
         stream: Whether the answer comes as server-sent events.
         priority: 0 is served first.
         timeout: Seconds after which the caller no longer wants an answer.
+        idempotent: Whether it may be repeated if its answer is lost.
     """
 
     request_id: RequestId
@@ -238,6 +239,7 @@
     stream: bool = False
     priority: int = 0
     timeout: float = 60.0
+    idempotent: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/buckthornstile/upstreams/_exchange.py
+++ b/buckthornstile/upstreams/_exchange.py
@@ -45,6 +45,8 @@
         self.finished = False
         self.discards = False
         self.length_declared = False
+        self.names_requests = False
+        self.keeps_alive = False
         self.length = 0
 
     async def headers_received(
@@ -59,6 +61,11 @@
         chunked = headers.get("Transfer-Encoding", "").lower() == "chunked"
         bodiless = self.call.method == "HEAD" or start_line.code in (204, 304)
         self.length_declared = chunked or bodiless or "Content-Length" in headers
+        self.names_requests = REQUEST_ID_HEADER in headers
+        self.keeps_alive = (
+            start_line.version == "HTTP/1.1"
+            and headers.get("Connection", "").lower() != "close"
+        )
         echo = headers.get(REQUEST_ID_HEADER) or self.call.request_id
         content_type = headers.get("Content-Type", "")
         await self.events.put(
@@ -92,6 +99,7 @@
         self.call = call
         self.max_answer_bytes = max_answer_bytes
         self.ended_by: ErrorCode | None = None
+        self.reusable = False
         self._stream: IOStream | None = None
         self._events: asyncio.Queue[ExchangeEvent] = asyncio.Queue(MAX_QUEUED_PARTS)
         self._delegate = _AnswerDelegate(call, self._events)
@@ -133,8 +141,15 @@
         if self._stream is not None:
             self._stream.close()
 
+    def take_stream(self) -> IOStream | None:
+        """Gives the connection for another call, if the answer allows it."""
+        if not self.reusable or self.ended_by is not None:
+            return None
+        stream, self._stream = self._stream, None
+        return stream
+
     async def close(self) -> None:
-        """Closes the connection and ends reading."""
+        """Closes the connection, unless it was taken, and ends reading."""
         if self._stream is not None:
             self._stream.close()
         # An emptied queue lets a reader that waits for room come to its end.
@@ -147,8 +162,10 @@
     async def _read(self, connection: HTTP1Connection) -> None:
         delegate = self._delegate
         # The bytes are not trusted: whatever fails to parse is a lost answer.
+        still_open = False
         with contextlib.suppress(Exception):
-            await connection.read_response(delegate)
+            still_open = await connection.read_response(delegate)
+        self.reusable = still_open and delegate.keeps_alive and delegate.names_requests
         if delegate.finished and delegate.length_declared:
             await self._events.put(AnswerEnd(delegate.length))
         else:
--- a/buckthornstile/upstreams/_http.py
+++ b/buckthornstile/upstreams/_http.py
@@ -24,20 +24,23 @@
 )
 
 MAX_ANSWER_BYTES = 64 << 20
+MAX_IDLE_CONNECTIONS = 32
 DEFAULT_PORT = 80
 
 
 class HttpUpstream:
     """An upstream behind HTTP/1.1.
 
-    Each call has a connection of its own. Whatever an upstream sends late or
-    twice is lost with that connection, and no failure makes the client write a
-    request again.
+    A call that may not be repeated has a connection of its own, and so has every
+    call to an upstream that does not name the request in its answer. Other calls
+    share kept connections: what an upstream sends late or twice then shows by
+    the wrong name. No failure makes the client write a request again.
 
     Args:
         base_url: Where the upstream listens, as ``http://IP:port``.
         connect_timeout: Seconds for a connection to stand.
         max_answer_bytes: The longest answer that is read.
+        maximum_idle: Connections kept for later calls.
 
     Example:
         >>> HttpUpstream("http://127.0.0.1:9000").connect_timeout
@@ -50,11 +53,14 @@
         *,
         connect_timeout: float = 1.0,
         max_answer_bytes: int = MAX_ANSWER_BYTES,
+        maximum_idle: int = MAX_IDLE_CONNECTIONS,
     ) -> None:
         self.base_url = base_url
         self.connect_timeout = connect_timeout
         self.max_answer_bytes = max_answer_bytes
+        self.maximum_idle = maximum_idle
         self._open: dict[RequestId, Exchange] = {}
+        self._idle: list[IOStream] = []
 
     async def call(
         self, call: UpstreamCall
@@ -79,7 +85,9 @@
         self._open[call.request_id] = exchange
         timer = loop.call_later(call.timeout, exchange.end, ErrorCode.DEADLINE_PASSED)
         try:
-            stream = await self._connect(min(self.connect_timeout, call.timeout))
+            stream = self._take_idle() if call.idempotent else None
+            if stream is None:
+                stream = await self._connect(min(self.connect_timeout, call.timeout))
             self._start(exchange, stream)
             while True:
                 event = await exchange.read_event()
@@ -94,6 +102,7 @@
             timer.cancel()
             if self._open.get(call.request_id) is exchange:
                 del self._open[call.request_id]
+            self._keep(exchange.take_stream())
             await exchange.close()
 
     async def cancel(self, request_id: RequestId) -> None:
@@ -107,9 +116,28 @@
             exchange.end(ErrorCode.CANCELLED)
 
     async def close(self) -> None:
-        """Ends the calls that are open; there are no idle connections."""
+        """Ends the calls that are open and closes idle connections."""
         for exchange in list(self._open.values()):
             exchange.end(ErrorCode.CANCELLED)
+        while self._idle:
+            self._idle.pop().close()
+
+    def _take_idle(self) -> IOStream | None:
+        while self._idle:
+            stream = self._idle.pop()
+            if _is_silent(stream):
+                stream.set_close_callback(None)
+                return stream
+            stream.close()
+        return None
+
+    def _keep(self, stream: IOStream | None) -> None:
+        if stream is None:
+            return
+        if len(self._idle) >= self.maximum_idle:
+            stream.close()
+            return
+        self._idle.append(stream)
 
     async def _connect(self, timeout: float) -> IOStream:
         try:
@@ -168,6 +196,22 @@
     return stream
 
 
+def _is_silent(stream: IOStream) -> bool:
+    """Whether an idle connection is open and holds nothing unread.
+
+    Bytes that nobody asked for are a late or doubled answer.
+    """
+    if stream.closed() or stream._read_buffer_size:
+        return False
+    try:
+        stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+    return False
+
+
 def _check_echo(call: UpstreamCall, head: AnswerHead) -> None:
     if head.request_id != call.request_id:
         raise BuckthornstileError(
--- a/buckthornstile/upstreams/tests/test_calls.py
+++ b/buckthornstile/upstreams/tests/test_calls.py
@@ -130,6 +130,40 @@
     assert asyncio.run(call()) == [b"ok", b"ok", b"ok"]
 
 
+NAMED = OK + b"X-Request-Id: REQUEST-ID\r\nContent-Length: 2\r\n\r\n"
+
+
+def test_repeatable_calls_share_a_connection_that_names_its_requests():
+    async def call(answer, idempotent):
+        upstream = RawUpstream(answer, closes=False)
+        service = make_service(await upstream.start())
+        for number in range(3):
+            request = make_call(number, idempotent=idempotent)
+            assert join_parts(await collect(service, request)) == b"ok"
+        await service.close()
+        return upstream.connections
+
+    assert asyncio.run(call(NAMED + b"ok", True)) == 1
+    assert asyncio.run(call(NAMED + b"ok", False)) == 3
+    assert asyncio.run(call(OK + b"Content-Length: 2\r\n\r\nok", True)) == 3
+
+
+def test_a_doubled_answer_on_a_shared_connection_is_never_taken_for_another():
+    async def call():
+        upstream = RawUpstream(NAMED + b"ok" + NAMED + b"no", closes=False)
+        service = make_service(await upstream.start())
+        answers = []
+        for number in range(6):
+            try:
+                request = make_call(number, idempotent=True)
+                answers.append(join_parts(await collect(service, request)))
+            except BuckthornstileError as error:
+                answers.append(error.code)
+        return answers
+
+    assert set(asyncio.run(call())) <= {b"ok", ErrorCode.ANSWER_CROSSED}
+
+
 def test_an_order_is_written_once_whatever_becomes_of_its_connection():
     async def call():
         upstream = RawUpstream(OK + b"Content-Length: 2\r\n\r\nok", closes=False)
--- a/buckthornstile/upstreams/tests/upstreams.py
+++ b/buckthornstile/upstreams/tests/upstreams.py
@@ -16,7 +16,9 @@
     return f"http://127.0.0.1:{port}"
 
 
-def make_call(number=0, *, path="/order", stream=False, tokens=20, timeout=5.0):
+def make_call(
+    number=0, *, path="/order", stream=False, tokens=20, timeout=5.0, idempotent=False
+):
     body = {"prompt": "set a tooth", "max_tokens": tokens, "stream": stream}
     return UpstreamCall(
         request_id=RequestId(f"e1/{number}"),
@@ -26,6 +28,7 @@
         body=json.dumps(body).encode(),
         stream=stream,
         timeout=timeout,
+        idempotent=idempotent,
     )
 
 
@@ -49,6 +52,7 @@
         self.answer = answer
         self.closes = closes
         self.requests = 0
+        self.connections = 0
         self.all_written = asyncio.Event()
 
     async def start(self):
@@ -56,15 +60,21 @@
         return f"http://127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
 
     async def _serve(self, reader, writer):
+        self.connections += 1
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
                 length = int(head.lower().split(b"content-length:")[1].split()[0])
                 await reader.readexactly(length)
                 self.requests += 1
-                writer.write(self.answer)
+                writer.write(self._make_answer(head))
                 await writer.drain()
                 self.all_written.set()
                 if self.closes:
                     break
         writer.close()
+
+    def _make_answer(self, head):
+        """Fills in the request's own id, where the answer has a place for it."""
+        request_id = head.split(b"X-Request-Id: ")[1].split(b"\r\n")[0]
+        return self.answer.replace(b"REQUEST-ID", request_id)
