Prove the margin for clock rates and the stability of candidates

Cause: the state machines' clocks differ too little to need the margin. Change: a holder with a slow clock is cut off while a fast one waits; without the margin two act.

--- a/buckthornstile/control/tests/naive.py
+++ b/buckthornstile/control/tests/naive.py
@@ -33,6 +33,13 @@
         return action
 
 
+class MarginlessFold(LeaseFold):
+    """Waits for the duration alone, as if all clocks ran alike."""
+
+    def get_wait(self, duration):
+        return duration
+
+
 class TermOnlyFold(LeaseFold):
     """Accepts a claim whose claimer had not seen the last renewal."""
 
--- a/buckthornstile/lease/tests/test_lease_machine.py
+++ b/buckthornstile/lease/tests/test_lease_machine.py
@@ -13,6 +13,7 @@
 
 from buckthornstile.control.tests import naive
 from buckthornstile.control.tests.simulation import DURATION, Fate, World
+from buckthornstile.lease import LeaseFold, choose_candidates
 
 CANDIDATES = st.integers(0, 1)
 SECONDS = st.sampled_from([0.5, 5.0, 12.0])
@@ -84,3 +85,40 @@
     )
     with pytest.raises(AssertionError, match="acted in term"):
         run_state_machine_as_test(machine, settings=without_shrinking)
+
+
+def cut_off_slow_holder(fold):
+    """A holder with a slow clock loses the log; a fast clock waits for its end."""
+    world = World(rates=(0.985, 1.015), lease_fold=fold)
+    world.beats = True
+    for process in world.processes:
+        process.core.keeper.duration = 60.0
+        process.core.keeper.jitter = 0.0
+    holder, other = world.processes
+    other.is_paused = True
+    assert world.wait_for_holder() is holder
+    other.is_paused = False
+    holder.appends_lost = True
+    holder.reads = False
+    world.advance(90.0)
+    return world
+
+
+def test_clock_rates_differ():
+    world = cut_off_slow_holder(LeaseFold)
+    world.platform.check_one_in_charge()
+    assert world.get_holder() is world.processes[1]
+
+
+def test_no_margin_lets_two_act():
+    world = cut_off_slow_holder(naive.MarginlessFold)
+    with pytest.raises(AssertionError, match="acted in term"):
+        world.platform.check_one_in_charge()
+
+
+def test_one_candidate_changes_when_an_entry_goes():
+    entries = [f"e{number}" for number in range(20)]
+    before = choose_candidates(entries, 3)
+    for gone in entries:
+        after = choose_candidates([e for e in entries if e != gone], 3)
+        assert len(set(before) - set(after)) == (gone in before)
