Join a slot that its agent makes already, after its entry has died

A sample whose entry is gone goes on at its agent; the trainer's new entry's dispatch of the same slot joins it, and its usage is counted once, under the request that ran. The scheduler's replies move to a module of their own.

--- a/buckthornstile/agent/_scheduler.py
+++ b/buckthornstile/agent/_scheduler.py
@@ -7,6 +7,14 @@
 
 from buckthornstile.agent._admission import AgentCondition, check_request
 from buckthornstile.agent._calls import CallResult, UpstreamCaller
+from buckthornstile.agent._replies import (
+    compute_pace,
+    drop_usage,
+    make_answer,
+    make_cancelled,
+    make_failure,
+    make_sample,
+)
 from buckthornstile.agent._requests import AgentRequest
 from buckthornstile.base import (
     BuckthornstileError,
@@ -21,21 +29,12 @@
 from buckthornstile.limits import ConcurrencyLimit
 from buckthornstile.queueing import FairQueue, QueueItem
 from buckthornstile.records import UsageLine
-from buckthornstile.samples import FinishedSamples
+from buckthornstile.samples import FinishedSamples, RunningSlots
 from buckthornstile.usage import UsageLedger
-from buckthornstile.wire import (
-    Answer,
-    Connection,
-    Dispatch,
-    End,
-    FinishedSample,
-    compute_digest,
-)
+from buckthornstile.wire import Connection, Dispatch, Slot
 
 SERVER_ERROR_STATUS = 500
 SPEED_SHARE = 0.1
-MIN_PACE_TOKENS = 16
-"""Shorter answers count as this long: their first token weighs too much."""
 
 
 @dataclass(slots=True)
@@ -87,6 +86,7 @@
         self.get_condition = get_condition
         self.read_clock = read_clock
         self.counters = SchedulerCounters()
+        self.running_slots = RunningSlots()
         self.tokens_per_second = 0.0
         self._open: dict[RequestId, AgentRequest] = {}
         self._running: set[RequestId] = set()
@@ -127,6 +127,8 @@
         check_request(dispatch, self.get_condition())
         if request.is_sample:
             self.finished.check_attach(dispatch.lot, dispatch.attach)
+            if self._join_running(request, now):
+                return
         # A queue that sheds must not leave a mark of the request it refuses, so
         # the guard comes first and is told of the refusal.
         decision = self.table.admit(dispatch, now)
@@ -146,6 +148,22 @@
             )
         self._open[dispatch.request_id] = request
 
+    def _join_running(self, request: AgentRequest, now: float) -> bool:
+        """Lets a slot that runs already, for another entry, answer this one too."""
+        dispatch = request.dispatch
+        slot = Slot(dispatch.slot_group, dispatch.slot_index)
+        joined = self.running_slots.join(
+            dispatch.lot,
+            slot,
+            dispatch.request_id,
+            minimum_version=dispatch.minimum_version,
+        )
+        if joined:
+            self.table.admit(dispatch, now)
+            self.table.start(dispatch.request_id, now)
+            self._open[dispatch.request_id] = request
+        return joined
+
     def _estimate_wait(self) -> float:
         if self.tokens_per_second <= 0:
             return 1.0
@@ -154,9 +172,7 @@
     def _replay(self, request: AgentRequest, answer: KeptAnswer) -> None:
         self.counters.replayed += 1
         dispatch = request.dispatch
-        # What it used was counted under the attempt that ran.
-        unbilled = dataclasses.replace(answer, prompt_tokens=0, generated_tokens=0)
-        request.reply(make_answer(dispatch.request_id, unbilled))
+        request.reply(make_answer(dispatch.request_id, drop_usage(answer)))
 
     # Start
 
@@ -201,6 +217,13 @@
             return
         self.limit.on_start()
         self._running.add(item.request_id)
+        if request.is_sample:
+            self.running_slots.begin(
+                dispatch.lot,
+                Slot(dispatch.slot_group, dispatch.slot_index),
+                item.request_id,
+                version=self.get_condition().version,
+            )
         self.counters.started += 1
         request.task = asyncio.create_task(self._run(request))
 
@@ -211,15 +234,36 @@
             result = await self.caller.call(request, started_at)
         except BuckthornstileError as error:
             self._fail(request, error)
+            self._answer_joined(request_id, error)
         except asyncio.CancelledError:
-            self._fail(request, request.stop_error or _make_cancelled())
+            cancelled = request.stop_error or make_cancelled()
+            self._fail(request, cancelled)
+            self._answer_joined(request_id, cancelled)
         else:
             self._finish(request, result, started_at)
+            self._answer_joined(request_id, result.answer)
         finally:
             self._running.discard(request_id)
             self._open.pop(request_id, None)
         self.pump()
 
+    def _answer_joined(
+        self, running: RequestId, outcome: KeptAnswer | BuckthornstileError
+    ) -> None:
+        """Answers the requests that joined a running sample, each once."""
+        now = self.read_clock()
+        for request_id in self.running_slots.finish(running):
+            joined = self._open.get(request_id)
+            if joined is None or request_id == running:
+                continue
+            del self._open[request_id]
+            if isinstance(outcome, BuckthornstileError):
+                self.table.fail(request_id, outcome.verdict, now)
+                joined.reply(make_failure(request_id, outcome))
+                continue
+            self.table.finish(request_id, now)
+            joined.reply(make_answer(request_id, drop_usage(outcome)))
+
     # End
 
     def _finish(
@@ -237,7 +281,11 @@
         self.limit.on_first_token(compute_pace(answer, now - started_at), now)
         self.limit.on_finish(answer.status < SERVER_ERROR_STATUS, now)
         if request.is_sample:
-            self._keep_sample(dispatch, answer, now)
+            self.finished.add(
+                make_sample(dispatch, answer),
+                now=now,
+                minimum_version=dispatch.minimum_version,
+            )
         whole = make_answer(dispatch.request_id, answer)
         if result.relay is None:
             request.reply(whole)
@@ -249,20 +297,6 @@
             )
         )
 
-    def _keep_sample(self, dispatch: Dispatch, answer: KeptAnswer, now: float) -> None:
-        sample = FinishedSample(
-            dispatch.request_id,
-            dispatch.lot,
-            dispatch.slot_group,
-            dispatch.slot_index,
-            answer.body,
-            compute_digest(answer.body),
-            answer.labels,
-            answer.prompt_tokens,
-            answer.generated_tokens,
-        )
-        self.finished.add(sample, now=now, minimum_version=dispatch.minimum_version)
-
     def _count_usage(self, dispatch: Dispatch, answer: KeptAnswer) -> None:
         incarnation, counter = split_request_id(dispatch.request_id)
         line = UsageLine(
@@ -315,11 +349,31 @@
         if item is not None:
             self._refuse_waiting(item, error.code, error.message)
             return
+        error.verdict = Verdict.MAY_HAVE_RUN
+        if request.is_sample and self._leave_running(request, error):
+            return
         if request.task is not None and request.stop_error is None:
-            error.verdict = Verdict.MAY_HAVE_RUN
             request.stop_error = error
             request.task.cancel()
 
+    def _leave_running(self, request: AgentRequest, error: BuckthornstileError) -> bool:
+        """Ends one request's wait for a sample that others still wait for."""
+        request_id = request.dispatch.request_id
+        unwanted = self.running_slots.leave(request_id)
+        if unwanted == request_id:
+            return False
+        request.reply(make_failure(request_id, error))
+        if request.task is None:
+            del self._open[request_id]
+            self.table.fail(request_id, error.verdict, self.read_clock())
+        request.connection = None
+        if unwanted is not None:
+            runner = self._open[unwanted]
+            assert runner.task is not None
+            runner.stop_error = error
+            runner.task.cancel()
+        return True
+
     def on_connection_lost(self, connection: Connection) -> None:
         """Drops what only the lost entry wanted; the rest runs to its end."""
         lost = [r for r in self._open.values() if r.connection is connection]
@@ -327,7 +381,7 @@
             request.connection = None
             waits = request.task is None
             if waits or not request.outlives_connection:
-                self.cancel(request.dispatch.request_id, _make_cancelled())
+                self.cancel(request.dispatch.request_id, make_cancelled())
 
     def on_configuration(self, configuration: Configuration) -> None:
         """Ends open requests whose key has been withdrawn."""
@@ -344,81 +398,3 @@
     def list_entries(self) -> Iterable[Incarnation]:
         """Lists the incarnations of the entries with open requests."""
         return {split_request_id(request_id)[0] for request_id in self._open}
-
-
-def compute_pace(answer: KeptAnswer, seconds: float) -> float:
-    """Computes the latency that the concurrency limit is steered by.
-
-    Answers of an engine differ in length, so that their whole time says little;
-    the time for each token is comparable, and grows with the engine's load.
-
-    Args:
-        answer: The answer.
-        seconds: How long it took.
-
-    Returns:
-        Seconds a token, or of the whole answer if it has no tokens.
-
-    Example:
-        >>> compute_pace(KeptAnswer(200, "", b"", generated_tokens=100), 2.0)
-        0.02
-    """
-    if not answer.generated_tokens:
-        return seconds
-    return seconds / max(answer.generated_tokens, MIN_PACE_TOKENS)
-
-
-def make_answer(request_id: RequestId, answer: KeptAnswer) -> Answer:
-    """Makes the one message of a whole answer.
-
-    Args:
-        request_id: The request.
-        answer: The answer.
-
-    Returns:
-        The message for the entry.
-
-    Example:
-        >>> make_answer("e/1", KeptAnswer(200, "text/plain", b"yes")).body
-        b'yes'
-    """
-    return Answer(
-        request_id,
-        answer.status,
-        answer.content_type,
-        answer.body,
-        compute_digest(answer.body),
-        answer.labels,
-        answer.prompt_tokens,
-        answer.generated_tokens,
-    )
-
-
-def make_failure(request_id: RequestId, error: BuckthornstileError) -> End:
-    """Makes the end of a request that failed.
-
-    Args:
-        request_id: The request.
-        error: Why.
-
-    Returns:
-        The message for the entry.
-
-    Example:
-        >>> error = BuckthornstileError(ErrorCode.DRAINING, "no new work")
-        >>> make_failure(RequestId("e/1"), error).verdict
-        <Verdict.NOT_RUN: 'not_run'>
-    """
-    return End(
-        request_id,
-        error.verdict,
-        error.code,
-        error.message,
-        retry_after=error.retry_after or 0.0,
-    )
-
-
-def _make_cancelled() -> BuckthornstileError:
-    return BuckthornstileError(
-        ErrorCode.CANCELLED, "the request was given up", verdict=Verdict.MAY_HAVE_RUN
-    )
--- a/buckthornstile/entry/_lots.py
+++ b/buckthornstile/entry/_lots.py
@@ -270,11 +270,12 @@
         """
         opened = self._find_lot(account, lot, body.get("trainer"))
         slots = parse_slots(body.get("slots", []))
-        if body.get("attach") != opened.lot.attach:
+        attach = body.get("attach")
+        if type(attach) is not int or attach < opened.lot.attach:
             raise BuckthornstileError(
                 ErrorCode.ATTACH_OLD, "the trainer has attached again since"
             )
-        opened.lot.on_acknowledge(slots)
+        opened.lot.on_acknowledge(slots, attach=attach)
         self.wake()
         return len(slots)
 
