--- a/buckthornstile/agent/_daemon.py
+++ b/buckthornstile/agent/_daemon.py
@@ -44,6 +44,8 @@
     Identity,
     PeerServer,
     RelayedRecord,
+    make_client_context,
+    make_server_context,
 )
 
 TICK_SECONDS = 0.25
@@ -51,6 +53,7 @@
 HOLD_AFTER_PAUSE_SECONDS = 0.5
 MAX_LOG_LAG_SECONDS = 3.0
 ENTRY_GONE_SECONDS = 15.0
+USAGE_CONFIRM_SECONDS = 3.0
 
 
 class Agent:
@@ -92,6 +95,9 @@
             ports.weights,
             identity=self.identity,
             secret=settings.deployment_secret.get_secret_value(),
+            ssl_context=make_client_context(
+                settings.tls_certificate, settings.tls_key, settings.tls_ca
+            ),
         )
         self.orders = OrderDesk(
             engine, fetcher=self.fetcher, read_clock=self.read_clock
@@ -285,15 +291,18 @@
             if not link.connection.closed:
                 link.connection.send(self.make_heartbeat())
                 link.connection.send(Goodbye("planned stop"))
-        deadline = self.read_clock() + self.settings.stop_timeout
-        while self.read_clock() < deadline and not self._is_idle():
+        now = self.read_clock()
+        deadline = now + self.settings.stop_timeout
+        while self.scheduler.open_count and self.read_clock() < deadline:
+            await asyncio.sleep(0.05)
+        # Entries that live append their usage themselves; this only covers one
+        # that dies in the next moments.
+        deadline = min(deadline, self.read_clock() + USAGE_CONFIRM_SECONDS)
+        while len(self.scheduler.ledger) and self.read_clock() < deadline:
             await asyncio.sleep(0.05)
         # The last answers may still be in the write buffers.
         await asyncio.sleep(0.1)
 
-    def _is_idle(self) -> bool:
-        return not self.scheduler.open_count and not len(self.scheduler.ledger)
-
 
 def make_agent(settings: AgentSettings) -> Agent:
     """Makes an agent with the HTTP adapters of its upstream and platform.
@@ -330,6 +339,9 @@
         settings.deployment_secret.get_secret_value(),
         on_connection=agent.serve_connection,
         on_refusal=agent.count_refusal,
+        ssl_context=make_server_context(
+            settings.tls_certificate, settings.tls_key, settings.tls_ca
+        ),
     )
     server.listen(settings.peer_port, settings.address)
     port = next(iter(server._sockets.values())).getsockname()[1]
--- a/buckthornstile/agent/_replies.py
+++ b/buckthornstile/agent/_replies.py
@@ -32,12 +32,15 @@
     return seconds / max(answer.generated_tokens, MIN_PACE_TOKENS)
 
 
-def make_answer(request_id: RequestId, answer: KeptAnswer) -> Answer:
+def make_answer(
+    request_id: RequestId, answer: KeptAnswer, *, queue_wait: float = 0.0
+) -> Answer:
     """Makes the one message of a whole answer.
 
     Args:
         request_id: The request.
         answer: The answer.
+        queue_wait: Seconds that it waited in the queue.
 
     Returns:
         The message for the entry.
@@ -55,6 +58,7 @@
         answer.labels,
         answer.prompt_tokens,
         answer.generated_tokens,
+        queue_wait,
     )
 
 
--- a/buckthornstile/agent/_scheduler.py
+++ b/buckthornstile/agent/_scheduler.py
@@ -286,7 +286,9 @@
                 now=now,
                 minimum_version=dispatch.minimum_version,
             )
-        whole = make_answer(dispatch.request_id, answer)
+        whole = make_answer(
+            dispatch.request_id, answer, queue_wait=started_at - request.arrived_at
+        )
         if result.relay is None:
             request.reply(whole)
             return
--- a/buckthornstile/entry/_daemon.py
+++ b/buckthornstile/entry/_daemon.py
@@ -6,7 +6,6 @@
 import random
 import secrets
 import signal
-import ssl
 from collections.abc import Sequence
 
 from tornado.httpserver import HTTPServer
@@ -28,11 +27,12 @@
 from buckthornstile.entry._calls import Call, authenticate_call, parse_call
 from buckthornstile.entry._changes import ChangeLog
 from buckthornstile.entry._dispatcher import Dispatcher
-from buckthornstile.entry._duties import WeightDuty
+from buckthornstile.entry._duties import SnapshotDuty, WeightDuty
 from buckthornstile.entry._fleet import Fleet
 from buckthornstile.entry._handlers import make_application
 from buckthornstile.entry._links import AgentLink
 from buckthornstile.entry._lots import LotDesk
+from buckthornstile.entry._scale import ScaleDuty
 from buckthornstile.entry._status import (
     make_explanation,
     make_status,
@@ -46,10 +46,22 @@
 from buckthornstile.orders import OrderAnswer, SendAgentOrder
 from buckthornstile.platform import make_platform_ports
 from buckthornstile.ports import PlatformPorts
-from buckthornstile.records import Record, UsageBatch, encode_record
+from buckthornstile.records import (
+    ConfigurationSnapshot,
+    Record,
+    UsageBatch,
+    encode_record,
+)
 from buckthornstile.settings import EntrySettings
 from buckthornstile.usage import UsageCounter
-from buckthornstile.wire import Heartbeat, Identity, Order, RelayedRecord
+from buckthornstile.wire import (
+    Heartbeat,
+    Identity,
+    Order,
+    RelayedRecord,
+    make_client_context,
+    make_server_context,
+)
 
 NOT_READY_SECONDS = 1.0
 BODY_TIMEOUT_SECONDS = 30.0
@@ -74,7 +86,9 @@
         self.secret = settings.deployment_secret.get_secret_value()
         self.connect_timeout = settings.connect_timeout
         self.heartbeat_timeout = settings.heartbeat_timeout
-        self.ssl_context: ssl.SSLContext | None = None
+        self.ssl_context = make_client_context(
+            settings.tls_certificate, settings.tls_key, settings.tls_ca
+        )
         self.identity = Identity(
             settings.process,
             Role.ENTRY,
@@ -124,6 +138,8 @@
             listeners=[self._on_record],
         )
         self.weights = WeightDuty(self)
+        self.snapshots = SnapshotDuty(self)
+        self.scale = ScaleDuty(self)
         self._sequence = 0
         self._agent_term = NO_TERM
         self._holder = ""
@@ -179,6 +195,8 @@
             self._on_configuration()
         if isinstance(record, UsageBatch):
             self._on_usage_batch(record)
+        if isinstance(record, ConfigurationSnapshot):
+            self.snapshots.on_snapshot(read_at)
 
     def _on_configuration(self) -> None:
         current = self.configuration.current
@@ -225,13 +243,10 @@
         """Notes the end of an admitted call."""
         self.admission.release(call.account, self.read_clock())
 
-    def record_total(self, call: Call, seconds: float) -> None:
-        """Records how long a call took."""
+    def record(self, measure: Measure, call: Call, value: float) -> None:
+        """Records a measure of a call, by client account and class."""
         self.histograms.record(
-            Measure.TOTAL,
-            seconds,
-            account=call.account,
-            request_class=call.request_class,
+            measure, value, account=call.account, request_class=call.request_class
         )
 
     def count_error(self, error: BuckthornstileError) -> None:
@@ -374,6 +389,7 @@
         max_body_size=settings.max_body_bytes * 2,
         body_timeout=BODY_TIMEOUT_SECONDS,
         idle_connection_timeout=IDLE_TIMEOUT_SECONDS,
+        ssl_options=make_server_context(settings.tls_certificate, settings.tls_key),
     )
     server.listen(settings.http_port, settings.address)
     port = next(iter(server._sockets.values())).getsockname()[1]
@@ -389,6 +405,8 @@
         asyncio.create_task(entry.append_usage()),
         asyncio.create_task(entry.watch_control()),
         asyncio.create_task(entry.weights.run()),
+        asyncio.create_task(entry.snapshots.run()),
+        asyncio.create_task(entry.scale.run()),
     ]
     print(json.dumps({"ready": True, "port": port}), flush=True)
     await stopping.wait()
--- a/buckthornstile/entry/_duties.py
+++ b/buckthornstile/entry/_duties.py
@@ -1,4 +1,4 @@
-"""What the holder of the control lease does besides its log duties: weights.
+"""What the holder of the control lease does besides its log duties.
 
 The decisions are the planners'; this only feeds them and sends what they want.
 """
@@ -16,6 +16,7 @@
 from buckthornstile.entry._links import AgentLink
 from buckthornstile.metrics import CounterName
 from buckthornstile.orders import OrderWish
+from buckthornstile.records import encode_record
 from buckthornstile.routing import UpstreamState
 from buckthornstile.weights import (
     SwapPlanner,
@@ -33,6 +34,7 @@
 ORDER_TIMEOUT_SECONDS = 15.0
 FETCH_REPEAT_SECONDS = 5.0
 FETCH_ORDER_SECONDS = 2.0
+SNAPSHOT_RETRY_SECONDS = 5.0
 
 
 class WeightDuty:
@@ -179,10 +181,6 @@
         if self._planner is not None:
             self._planner.on_failure(upstream, self.entry.read_clock())
 
-    def describe(self) -> dict[str, object]:
-        """Describes the present target, for ``status``."""
-        return {"target": self.target}
-
     def list_behind(self) -> list[ProcessName]:
         """Lists the agents whose engines do not serve the target yet."""
         now = self.entry.read_clock()
@@ -191,3 +189,43 @@
             for link in self._list_engines(now)
             if link.view.version < self.target
         ]
+
+
+class SnapshotDuty:
+    """Re-appends the whole configuration, well inside the log's retention.
+
+    Args:
+        entry: The entry, which appends only while it holds the lease.
+    """
+
+    def __init__(self, entry: "Entry") -> None:
+        self.entry = entry
+        self._seen_at = float("-inf")
+        self._sent_at = float("-inf")
+
+    def on_snapshot(self, read_at: float) -> None:
+        """Takes in that the log holds a snapshot."""
+        self._seen_at = read_at
+
+    async def run(self) -> None:
+        """Appends a snapshot whenever the last one is old."""
+        while True:
+            await asyncio.sleep(TICK_SECONDS)
+            now = self.entry.read_clock()
+            interval = self.entry.settings.snapshot_interval
+            last = max(self._seen_at, self._sent_at)
+            is_due = now - last >= interval and not self.entry.configuration.has_gap
+            if not is_due or self.entry.control.may_act(now, order_seconds=0) is None:
+                continue
+            self._sent_at = now - interval + SNAPSHOT_RETRY_SECONDS
+            await self._append()
+
+    async def _append(self) -> None:
+        snapshot = self.entry.configuration.make_snapshot()
+        try:
+            await self.entry.log.append(encode_record(snapshot))
+        except BuckthornstileError:
+            self.entry.counters.increment(CounterName("snapshot_append_failures"))
+        except ValueError:
+            # Too large for one record: the log's tail still carries the changes.
+            self.entry.counters.increment(CounterName("snapshots_too_large"))
--- a/buckthornstile/entry/_handlers.py
+++ b/buckthornstile/entry/_handlers.py
@@ -132,13 +132,13 @@
             return
         started_at = entry.read_clock()
         try:
-            await self._run(call)
+            await self._run(call, started_at)
         except asyncio.CancelledError:
             entry.counters.increment(CounterName("callers_gone"))
         finally:
             self._task = None
             entry.release(call)
-            entry.record_total(call, entry.read_clock() - started_at)
+            entry.record(Measure.TOTAL, call, entry.read_clock() - started_at)
 
     get = post = put = delete = patch = head = options = _serve  # type: ignore[assignment]
 
@@ -159,17 +159,26 @@
         call = authenticate_call(call, authorization, configuration)
         return classify_call(call, configuration)
 
-    async def _run(self, call: Call) -> None:
-        writer = StreamWriter(self) if call.stream else WholeWriter(self)
+    async def _run(self, call: Call, started_at: float) -> None:
+        entry = self.entry
+        writer: StreamWriter | WholeWriter = WholeWriter(self)
+        if call.stream:
+            writer = StreamWriter(
+                self,
+                on_first=lambda: entry.record(
+                    Measure.FIRST_TOKEN, call, entry.read_clock() - started_at
+                ),
+            )
         try:
-            end = await self.entry.dispatcher.run_call(call, writer)
+            end = await entry.dispatcher.run_call(call, writer)
         except BuckthornstileError as error:
-            self.entry.count_error(error)
+            entry.count_error(error)
             if isinstance(writer, StreamWriter) and writer.has_begun:
                 writer.fail(error)
             else:
                 write_error(self, error)
             return
+        entry.record(Measure.QUEUE_WAIT, call, end.queue_wait)
         writer.finish(end)
 
     def on_connection_close(self) -> None:
--- a/buckthornstile/entry/_lots.py
+++ b/buckthornstile/entry/_lots.py
@@ -138,6 +138,7 @@
         self.requests: dict[RequestId, tuple[AgentLink, PendingRequest]] = {}
         self.tasks: set[asyncio.Task[None]] = set()
         self.streamless_since = now
+        self.opened_at = now
 
     @property
     def specification(self) -> LotSpecification:
@@ -459,6 +460,12 @@
                 retry_after=end.retry_after or None,
             )
         self.entry.dispatcher.note_result(link, None)
+        self.entry.histograms.record(
+            Measure.QUEUE_WAIT,
+            end.queue_wait,
+            account=opened.account,
+            request_class=opened.rule.request_class,
+        )
         now = self.entry.read_clock()
         opened.lot.on_result(
             end.request_id, body, end.labels, end.generated_tokens, now
@@ -504,7 +511,13 @@
     def _deliver(self, action: DeliverSample, opened: OpenLot) -> None:
         if opened.stream is None:
             return
-        opened.stream.put(encode_sample(action.sample))
+        try:
+            line = encode_sample(action.sample)
+        except BuckthornstileError as error:
+            self.entry.count_error(error)
+            opened.lot.on_undeliverable(action.sample.slot)
+            return
+        opened.stream.put(line)
         age = opened.lot.trainer_version - action.sample.oldest_version
         self.entry.histograms.record(
             Measure.SAMPLE_AGE,
@@ -528,6 +541,12 @@
     def _complete(self, action: CompleteLot, opened: OpenLot) -> None:
         if opened.stream is not None:
             opened.stream.put(encode_line(EndLine(delivered=action.delivered)))
+        self.entry.histograms.record(
+            Measure.TRAINER_IDLE,
+            self.entry.read_clock() - opened.opened_at,
+            account=opened.account,
+            request_class=opened.rule.request_class,
+        )
 
     @_run.register
     def _fail(self, action: FailLot, opened: OpenLot) -> None:
--- /dev/null
+++ b/buckthornstile/entry/_scale.py
@@ -0,0 +1,165 @@
+"""What the lease holder starts and stops, from the load that agents report."""
+
+import asyncio
+from statistics import median
+from typing import TYPE_CHECKING
+
+from buckthornstile.base import FailureDomain, ServiceName, UpstreamId
+from buckthornstile.entry._links import AgentLink
+from buckthornstile.orders import OrderWish
+from buckthornstile.scaling import (
+    DomainSupply,
+    ScaleAction,
+    ScaleMemory,
+    ScalePolicy,
+    ScaleWish,
+    ServiceLoad,
+    plan_scale,
+)
+
+if TYPE_CHECKING:
+    from buckthornstile.entry._daemon import Entry
+
+BACKLOG_SECONDS = 10.0
+"""Queued work counts as demand that should be served within this time."""
+GROWTH_SHARE = 0.2
+
+
+class ScaleDuty:
+    """Plans starts and stops while this entry holds the lease.
+
+    It is off unless ``scale_maximum`` is set: ordering upstreams costs money.
+
+    Args:
+        entry: The entry.
+    """
+
+    def __init__(self, entry: "Entry") -> None:
+        self.entry = entry
+        self._memory = ScaleMemory()
+        self._held_since: float | None = None
+        self._demand: dict[ServiceName, float] = {}
+        self._growth: dict[ServiceName, float] = {}
+        self._starts: list[tuple[float, ServiceName, FailureDomain]] = []
+
+    async def run(self) -> None:
+        """Plans again and again."""
+        interval = self.entry.settings.scale_interval
+        while True:
+            await asyncio.sleep(interval)
+            if not self.entry.settings.scale_maximum:
+                continue
+            now = self.entry.read_clock()
+            if self.entry.control.may_act(now, order_seconds=1.0) is None:
+                self._held_since = None
+                continue
+            if self._held_since is None:
+                self._held_since = now
+            # A new holder cannot see what the last one ordered until it serves.
+            if now - self._held_since >= self.entry.settings.scale_start_seconds:
+                self.plan(now)
+
+    def plan(self, now: float) -> None:
+        """Plans once, and asks control for the orders."""
+        settings = self.entry.settings
+        policy = ScalePolicy(start_seconds=settings.scale_start_seconds)
+        self._starts = [
+            start
+            for start in self._starts
+            if now - start[0] < settings.scale_start_seconds
+        ]
+        loads = [
+            self._make_load(service, links, now)
+            for service, links in self._group_links(now).items()
+        ]
+        plan = plan_scale(loads, now=now, policy=policy, memory=self._memory)
+        self._memory = plan.memory
+        wishes = [self._make_wish(wish) for wish in plan.wishes]
+        for wish in plan.wishes:
+            if wish.action is ScaleAction.START:
+                start = (now, wish.service, wish.failure_domain)
+                self._starts += [start] * wish.count
+            self.entry.changes.note(
+                "scale.wished",
+                f"{wish.action.value} {wish.count} of {wish.service}",
+                wish.failure_domain,
+            )
+        self.entry.control.request_orders(wishes)
+
+    def _group_links(self, now: float) -> dict[ServiceName, list[AgentLink]]:
+        groups: dict[ServiceName, list[AgentLink]] = {}
+        for link in self.entry.fleet.links.values():
+            if link.view.is_alive(now) and not link.view.leaving:
+                groups.setdefault(link.view.service, []).append(link)
+        return groups
+
+    def _make_load(
+        self, service: ServiceName, links: list[AgentLink], now: float
+    ) -> ServiceLoad:
+        speeds = [link.view.tokens_per_second for link in links]
+        capacity = median(speed for speed in speeds if speed > 0) if any(speeds) else 0
+        demand = sum(_get_demand(link, capacity, now) for link in links)
+        earlier = self._demand.get(service, demand)
+        slope = (demand - earlier) / self.entry.settings.scale_interval
+        growth = self._growth.get(service, 0.0)
+        self._growth[service] = growth + GROWTH_SHARE * (slope - growth)
+        self._demand[service] = demand
+        return ServiceLoad(
+            service,
+            demand=demand,
+            capacity=capacity or 1.0,
+            growth=self._growth[service],
+            domains=self._list_supply(service, links),
+            maximum=self.entry.settings.scale_maximum,
+        )
+
+    def _list_supply(
+        self, service: ServiceName, links: list[AgentLink]
+    ) -> tuple[DomainSupply, ...]:
+        running: dict[FailureDomain, int] = {}
+        for link in links:
+            domain = link.view.failure_domain
+            running[domain] = running.get(domain, 0) + 1
+        drains = self.entry.configuration.current.drains
+        return tuple(
+            DomainSupply(
+                domain,
+                running=count,
+                starting=sum(
+                    (name, place) == (service, domain)
+                    for _, name, place in self._starts
+                ),
+                available=domain not in drains,
+            )
+            for domain, count in sorted(running.items())
+        )
+
+    def _make_wish(self, wish: ScaleWish) -> OrderWish:
+        upstream = UpstreamId("")
+        if wish.action is ScaleAction.STOP:
+            upstream = self._choose_idlest(wish)
+        return OrderWish(
+            "start" if wish.action is ScaleAction.START else "stop",
+            failure_domain=wish.failure_domain,
+            service=wish.service,
+            upstream=upstream,
+            count=wish.count,
+        )
+
+    def _choose_idlest(self, wish: ScaleWish) -> UpstreamId:
+        now = self.entry.read_clock()
+        views = [
+            link.view
+            for link in self.entry.fleet.links.values()
+            if (link.view.service, link.view.failure_domain)
+            == (wish.service, wish.failure_domain)
+        ]
+        return min(
+            views, key=lambda view: (view.compute_busy(now), view.upstream)
+        ).upstream
+
+
+def _get_demand(link: AgentLink, capacity: float, now: float) -> float:
+    view = link.view
+    share = min(view.compute_busy(now) / max(view.limit, 1.0), 1.0)
+    return share * capacity + view.queued_tokens / BACKLOG_SECONDS
--- a/buckthornstile/entry/_writers.py
+++ b/buckthornstile/entry/_writers.py
@@ -1,6 +1,7 @@
 """How answers and errors are written to callers."""
 
 import json
+from collections.abc import Callable
 
 from tornado.http1connection import HTTP1Connection
 from tornado.iostream import StreamClosedError
@@ -98,10 +99,14 @@
 
     Args:
         handler: The request's handler.
+        on_first: Called when the first bytes are written.
     """
 
-    def __init__(self, handler: RequestHandler) -> None:
+    def __init__(
+        self, handler: RequestHandler, *, on_first: Callable[[], None]
+    ) -> None:
         self.handler = handler
+        self.on_first = on_first
         self.length = 0
         self._digest = make_digest()
         self._begun = False
@@ -127,7 +132,9 @@
         Raises:
             BuckthornstileError: With ``CANCELLED`` if the caller has gone.
         """
-        self._begun = True
+        if not self._begun:
+            self._begun = True
+            self.on_first()
         self.length += len(data)
         self._digest.update(data)
         self.handler.write(data)
--- a/buckthornstile/settings/_entry.py
+++ b/buckthornstile/settings/_entry.py
@@ -67,6 +67,19 @@
     weight_poll_interval: float = make_number(
         1.0, 0.05, 3600, "s", "Time between two looks at the weight store's manifest."
     )
+    scale_maximum: int = make_number(
+        0,
+        0,
+        100_000,
+        "upstreams",
+        "Upstreams of one service that may be ordered; 0 orders and stops none.",
+    )
+    scale_interval: float = make_number(
+        5.0, 0.1, 3600, "s", "Time between two plans of starts and stops."
+    )
+    scale_start_seconds: float = make_number(
+        60.0, 0, 86_400, "s", "Time from an order to the upstream's first request."
+    )
     swap_share: float = make_number(
         0.25, 0.001, 1, "share", "Share of a service's engines that swap at once."
     )
--- a/buckthornstile/wire/__init__.py
+++ b/buckthornstile/wire/__init__.py
@@ -51,6 +51,7 @@
     WeightRequest,
     Welcome,
 )
+from buckthornstile.wire._tls import make_client_context, make_server_context
 
 __all__ = [
     "MAX_FRAME_BYTES",
@@ -94,9 +95,11 @@
     "decode_message",
     "dial_peer",
     "encode_message",
+    "make_client_context",
     "make_connection_error",
     "make_digest",
     "make_frame",
     "make_hello",
+    "make_server_context",
     "make_welcome",
 ]
--- a/buckthornstile/wire/_messages.py
+++ b/buckthornstile/wire/_messages.py
@@ -181,6 +181,7 @@
         prompt_tokens: Tokens read.
         generated_tokens: Tokens made.
         retry_after: Seconds after which a retry may succeed; 0 for unknown.
+        queue_wait: Seconds that it waited in the agent's queue.
     """
 
     request_id: RequestId
@@ -193,6 +194,7 @@
     prompt_tokens: int = 0
     generated_tokens: int = 0
     retry_after: float = 0.0
+    queue_wait: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -208,6 +210,7 @@
         labels: Which weight versions made which tokens.
         prompt_tokens: Tokens read.
         generated_tokens: Tokens made.
+        queue_wait: Seconds that it waited in the agent's queue.
     """
 
     request_id: RequestId
@@ -218,6 +221,7 @@
     labels: tuple[TokenRange, ...] = ()
     prompt_tokens: int = 0
     generated_tokens: int = 0
+    queue_wait: float = 0.0
 
     def split(self) -> tuple[Started, Chunk, End]:
         """Gives the messages that it stands for."""
@@ -232,6 +236,7 @@
                 labels=self.labels,
                 prompt_tokens=self.prompt_tokens,
                 generated_tokens=self.generated_tokens,
+                queue_wait=self.queue_wait,
             ),
         )
 
--- a/buckthornstile/wire/messages.capnp
+++ b/buckthornstile/wire/messages.capnp
@@ -93,6 +93,7 @@
   promptTokens @7 :UInt32;
   generatedTokens @8 :UInt32;
   retryAfter @9 :Float64;
+  queueWait @10 :Float64;
 }
 
 struct Answer {
@@ -104,6 +105,7 @@
   labels @5 :List(TokenRange);
   promptTokens @6 :UInt32;
   generatedTokens @7 :UInt32;
+  queueWait @8 :Float64;
 }
 
 struct Cancel {
