Tell the platform which process calls it

Ruled out: the stand-in drops the header (it journals what comes). Change: both daemons pass their process name.

--- a/buckthornstile/agent/_daemon.py
+++ b/buckthornstile/agent/_daemon.py
@@ -283,7 +283,9 @@
         The agent, not yet listening.
     """
     ports = make_platform_ports(
-        settings.platform_url, timeout=settings.platform_timeout
+        settings.platform_url,
+        timeout=settings.platform_timeout,
+        caller=settings.process,
     )
     upstream: UpstreamPort
     if settings.upstream_kind is UpstreamKind.ENGINE:
--- a/buckthornstile/entry/_daemon.py
+++ b/buckthornstile/entry/_daemon.py
@@ -361,7 +361,9 @@
         settings: The entry's settings.
     """
     ports = make_platform_ports(
-        settings.platform_url, timeout=settings.platform_timeout
+        settings.platform_url,
+        timeout=settings.platform_timeout,
+        caller=settings.process,
     )
     entry = Entry(settings, ports=ports, rng=random.Random(secrets.randbits(64)))
     server = HTTPServer(
