--- /dev/null
+++ b/tests/support.py
@@ -0,0 +1,329 @@
+"""A deployment under test, with callers and trainers that keep what they saw."""
+
+import asyncio
+import contextlib
+import itertools
+import json
+import time
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+from buckthornstile.base import BuckthornstileError
+from buckthornstile.client import (
+    CallerClient,
+    RetryPolicy,
+    SessionPolicy,
+    TrainerClient,
+)
+from buckthornstile.records import Drain, Rule
+from buckthornstile.samples import GroupSpecification, LotSpecification
+from standins.deployment import Deployment
+from tests.checker import CallSeen, Evidence, SampleSeen, check_all
+
+MODELS = "geometry-models"
+DESK = "shop-desk"
+SECONDS_TO_STOP = 5.0  # after withdrawal, drain or notice: the users' bound
+SETTLE = 20.0  # seconds for anything to settle on a busy machine
+ENTRY_SETTINGS = {
+    "lease_duration": 3,
+    "lease_renewal_interval": 0.5,
+    "lease_margin": 0.5,
+    "order_timeout": 0.5,
+    "usage_window": 2,
+    "usage_seal_delay": 2,
+    "usage_batch_interval": 0.25,
+}
+AGENT_SETTINGS = {"initial_limit": 8}
+PATIENT = SessionPolicy(silence_timeout=3.0)
+
+
+class World(Deployment):
+    """A small deployment with rules, one account and one key.
+
+    Args:
+        engines: Model engines, in failure domains ``bench-a``, ``bench-b``, ….
+        services: Plain services, in the same failure domains.
+        entries: Entries.
+        engine_flags: Flags of the engines.
+        service_flags: Flags of the plain services.
+        entry_settings: Settings of the entries, besides the usual ones.
+        agent_settings: Settings of the agents.
+        platform_flags: Flags of the platform.
+    """
+
+    def __init__(
+        self,
+        *,
+        engines: int = 0,
+        services: int = 0,
+        entries: int = 2,
+        engine_flags: dict[str, Any] | None = None,
+        service_flags: dict[str, Any] | None = None,
+        entry_settings: dict[str, Any] | None = None,
+        agent_settings: dict[str, Any] | None = None,
+        platform_flags: dict[str, Any] | None = None,
+    ) -> None:
+        super().__init__(
+            daemon_settings={
+                "entry": {**ENTRY_SETTINGS, **(entry_settings or {})},
+                "agent": {**AGENT_SETTINGS, **(agent_settings or {})},
+            },
+            platform_flags=platform_flags,
+        )
+        self.counts = (engines, services, entries)
+        self.flags = (engine_flags or {}, service_flags or {})
+        self.evidence = Evidence()
+        self.names = itertools.count()
+        self.tasks: set[asyncio.Task[Any]] = set()
+
+    def __enter__(self) -> "World":
+        super().__enter__()
+        try:
+            self._start_all()
+        except BaseException:
+            self.__exit__(None, None, None)
+            raise
+        return self
+
+    def _start_all(self) -> None:
+        engines, services, entries = self.counts
+        domains = [f"bench-{letter}" for letter in "abc"]
+        with ThreadPoolExecutor() as pool:
+            started = [
+                pool.submit(
+                    self.add_engine, f"engine-{n}", domains[n], MODELS, **self.flags[0]
+                )
+                for n in range(engines)
+            ]
+            started += [
+                pool.submit(
+                    self.add_service, f"desk-{n}", domains[n], DESK, **self.flags[1]
+                )
+                for n in range(services)
+            ]
+            started += [
+                pool.submit(self.add_entry, f"entry-{n}", domains[n])
+                for n in range(entries)
+            ]
+        for future in started:
+            future.result()
+        self.key, items = self.make_account("mill", weight=1.0)
+        self.evidence.keys.append(self.key)
+        self.change(*items, *make_rules())
+        self.wait_ready()
+
+    def __exit__(self, *exception: object) -> None:
+        # Planned stops have tests of their own; here they would only take time.
+        for process in self.bench.processes:
+            if process.is_running:
+                process.process.kill()
+        super().__exit__(*exception)
+
+    # Evidence
+
+    def keep_journal(self, name: str) -> None:
+        """Reads an upstream's journal before it is lost."""
+        self.evidence.upstreams[name] = self.upstreams[name].read_journal()
+
+    def kill_upstream(self, name: str) -> None:
+        """Kills an upstream, and its journal with it."""
+        self.evidence.lost_journals.add(name)
+        self.upstreams[name].kill()
+
+    def collect(self) -> Evidence:
+        """Reads all journals that are left."""
+        for name, process in self.upstreams.items():
+            if process.is_running:
+                self.keep_journal(name)
+        self.evidence.platform = self.platform.read_journal()
+        return self.evidence
+
+    def check(self) -> Evidence:
+        """Checks every promise that holds whatever the fault."""
+        evidence = self.collect()
+        check_all(evidence)
+        return evidence
+
+    async def until(
+        self, condition: Callable[[], bool], what: str, *, seconds: float = SETTLE
+    ) -> float:
+        """Waits for a condition while callers go on."""
+        return await asyncio.to_thread(self.wait_for, condition, what, seconds=seconds)
+
+    def read_control(self, entry: str) -> dict[str, Any]:
+        """Reads what an entry knows of the lease."""
+        return self.read_status(entry)["control"]
+
+    def find_holder(self) -> str:
+        """Finds the entry that holds the lease, or an empty name."""
+        for name, process in self.entries.items():
+            if process.is_running and self.read_control(name)["is_holder"]:
+                return name
+        return ""
+
+    def count_upstream(self, what: str) -> int:
+        """Counts entries of one kind in the running upstreams' journals."""
+        running = [p for p in self.upstreams.values() if p.is_running]
+        return sum(len(process.read_journal(what)) for process in running)
+
+    def drain(self, failure_domain: str) -> None:
+        """Drains a failure domain."""
+        self.change(Drain(name=failure_domain))
+
+    # Callers
+
+    def make_caller(
+        self, *, key: str = "", entries: list[str] | None = None, attempts: int = 6
+    ) -> CallerClient:
+        """Makes a caller's client."""
+        policy = RetryPolicy(maximum_attempts=attempts)
+        urls = entries or self.entry_urls
+        return CallerClient(urls, key or self.key, policy=policy)
+
+    async def order(self, caller: CallerClient, *, timeout: float = 30.0) -> CallSeen:
+        """Sends an order, which must not run twice."""
+        name = f"order-{next(self.names)}"
+        body = json.dumps({"name": name}).encode()
+        seen = CallSeen("mill", "order", name, body)
+        return await self._see(seen, caller.call("/orders", body, timeout=timeout))
+
+    async def look_up(self, caller: CallerClient, *, timeout: float = 30.0) -> CallSeen:
+        """Sends a lookup, which may run twice."""
+        name = f"lookup-{next(self.names)}"
+        body = json.dumps({"name": name}).encode()
+        seen = CallSeen("mill", "lookup", name, body)
+        call = caller.call("/lookup", body, idempotent=True, timeout=timeout)
+        return await self._see(seen, call)
+
+    async def complete(
+        self,
+        caller: CallerClient,
+        *,
+        tokens: int = 50,
+        stream: bool = False,
+        timeout: float = 30.0,
+    ) -> CallSeen:
+        """Completes a prompt of its own, streamed or whole."""
+        name = f"prompt {next(self.names)}"
+        request = {"prompt": name, "max_tokens": tokens, "seed": 7, "stream": stream}
+        body = json.dumps(request).encode()
+        seen = CallSeen("mill", "completion", name, body)
+        path = "/v1/completions"
+        if stream:
+            events = caller.stream(path, body, idempotent=True, timeout=timeout)
+            return await self._see_stream(seen, events)
+        call = caller.call(path, body, idempotent=True, timeout=timeout)
+        return await self._see(seen, call)
+
+    async def _see(self, seen: CallSeen, call: Awaitable[Any]) -> CallSeen:
+        self.evidence.calls.append(seen)
+        try:
+            answer = await call
+            seen.status, seen.answer = answer.status, answer.body
+        except BuckthornstileError as error:
+            seen.code, seen.verdict = error.code.value, error.verdict.value
+        seen.at = time.time()
+        return seen
+
+    async def _see_stream(
+        self, seen: CallSeen, events: AsyncIterator[bytes]
+    ) -> CallSeen:
+        self.evidence.calls.append(seen)
+        received: list[bytes] = []
+        seen.answer = received
+        try:
+            async for data in events:
+                received.append(data)
+            seen.status = 200
+        except BuckthornstileError as error:
+            seen.code, seen.verdict = error.code.value, error.verdict.value
+        seen.at = time.time()
+        return seen
+
+    @contextlib.asynccontextmanager
+    async def load(
+        self, call: Callable[[], Awaitable[CallSeen]], *, clients: int = 4
+    ) -> AsyncIterator[list[CallSeen]]:
+        """Calls again and again while the block runs; gives what has ended."""
+        ended: list[CallSeen] = []
+        stopping = False
+
+        async def loop() -> None:
+            while not stopping:
+                ended.append(await call())
+                await asyncio.sleep(0.01)
+
+        tasks = [asyncio.create_task(loop()) for _ in range(clients)]
+        try:
+            yield ended
+        finally:
+            stopping = True
+            await asyncio.gather(*tasks)
+
+    # Trainers
+
+    def make_trainer(self, entries: list[str] | None = None) -> TrainerClient:
+        """Makes a trainer's client."""
+        urls = entries or self.entry_urls
+        return TrainerClient(urls, self.key, "geometry", policy=PATIENT)
+
+    async def run_lot(
+        self,
+        trainer: TrainerClient,
+        specification: LotSpecification,
+        *,
+        get_version: Callable[[], int] = lambda: 1,
+    ) -> list[SampleSeen]:
+        """Runs a lot, and keeps each sample as it comes."""
+        seen = []
+        async for sample in trainer.run_lot(specification):
+            group = specification.groups[sample.slot.group]
+            labels = [(r.first, r.last, r.version) for r in sample.labels]
+            one = SampleSeen(
+                "mill",
+                specification.lot,
+                (sample.slot.group, sample.slot.index),
+                group.prompt,
+                group.max_tokens,
+                sample.body,
+                labels,
+                get_version(),
+                specification.maximum_age,
+            )
+            seen.append(one)
+            self.evidence.samples.append(one)
+        await trainer.close()
+        return seen
+
+
+def make_rules() -> Iterator[Rule]:
+    """Makes the rules that each test uses."""
+    yield Rule(
+        name="completions",
+        path="/v1/completions",
+        service=MODELS,
+        idempotent=True,
+        maximum_age=2,
+    )
+    yield Rule(name="orders", path="/orders", service=DESK, idempotent=False)
+    yield Rule(name="lookup", path="/lookup", service=DESK, idempotent=True)
+
+
+def make_lot(
+    name: str, *, groups: int = 2, samples: int = 4, tokens: int = 100, **fields: Any
+) -> LotSpecification:
+    """Makes a lot, with a prompt for each group."""
+    return LotSpecification(
+        lot=name,
+        trainer="geometry",
+        groups=tuple(
+            GroupSpecification(
+                prompt=f"{name} group {number}", samples=samples, max_tokens=tokens
+            )
+            for number in range(groups)
+        ),
+        version=1,
+        timeout=60.0,
+        **fields,
+    )
