Add the demo of a whole small deployment

make demo had no module to run. It starts 5 stand-ins, 4 agents and 2 entries in two failure domains, drives them through the library and the real commands, and compares what callers and trainer got with the stand-ins' journals.

Ruled out: retrying cut calls in the demo's callers, as a retry would hide a cut; every call is sent as one that may not be repeated. Ruled out: cancelling the start in a thread, which took 14.5 s to end after Ctrl-C; processes now start in the main thread and are killed on interruption.

The library's public names load lazily from the package.

The engines' swap is still ordered at the stand-in's own route.

--- a/buckthornstile/__init__.py
+++ b/buckthornstile/__init__.py
@@ -1,1 +1,70 @@
-"""A rollout service for reinforcement learning."""
+"""A rollout service for reinforcement learning.
+
+The names of the library for callers and trainers load on first use, so that
+importing the package alone costs nothing.
+
+Example:
+    >>> from buckthornstile import RetryPolicy
+    >>> RetryPolicy().maximum_attempts
+    6
+"""
+
+import importlib
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from buckthornstile.base import BuckthornstileError, ErrorCode, Verdict
+    from buckthornstile.client import (
+        Answer,
+        CallerClient,
+        ReceivedSample,
+        RetryPolicy,
+        SessionPolicy,
+        TrainerClient,
+    )
+    from buckthornstile.samples import GroupSpecification, LotSpecification
+    from buckthornstile.wire import Slot, TokenRange
+
+__version__ = "0.1.0"
+
+__all__ = [
+    "Answer",
+    "BuckthornstileError",
+    "CallerClient",
+    "ErrorCode",
+    "GroupSpecification",
+    "LotSpecification",
+    "ReceivedSample",
+    "RetryPolicy",
+    "SessionPolicy",
+    "Slot",
+    "TokenRange",
+    "TrainerClient",
+    "Verdict",
+    "__version__",
+]
+
+_SUBJECTS = {
+    "BuckthornstileError": "base",
+    "ErrorCode": "base",
+    "Verdict": "base",
+    "GroupSpecification": "samples",
+    "LotSpecification": "samples",
+    "Slot": "wire",
+    "TokenRange": "wire",
+}
+
+
+def __getattr__(name: str) -> object:
+    """Loads a public name when it is first used."""
+    if name not in __all__:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    subject = importlib.import_module(f"{__name__}.{_SUBJECTS.get(name, 'client')}")
+    value = getattr(subject, name)
+    globals()[name] = value
+    return value
+
+
+def __dir__() -> list[str]:
+    """Lists the public names."""
+    return sorted({*globals(), *__all__})
--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Examples, and the demo that runs a whole small deployment."""
--- a/standins/engine/_completions.py
+++ b/standins/engine/_completions.py
@@ -104,6 +104,7 @@
             entry["ended"] = time.time()
             entry["tokens_made"] = self.sequence.made
             entry["true_versions"] = sorted(set(self.sequence.true_versions))
+            entry["true_ranges"] = self._list_true_ranges()
             self.journal.figures["peak_running"] = self.scheduler.peak_running
 
     def on_connection_close(self) -> None:
@@ -122,6 +123,12 @@
             max_tokens=max(0, int(body.get("max_tokens", 16))),
         )
 
+    def _list_true_ranges(self) -> list[list[int]]:
+        assert self.sequence is not None
+        first = self.sequence.first_index
+        versions = enumerate(self.sequence.true_versions, first)
+        return group_versions([("", index, version) for index, version in versions])
+
     async def _iterate_tokens(self) -> AsyncIterator[Token]:
         sequence = self.sequence
         assert sequence is not None
