--- a/buckthornstile/samples/tests/test_delivery.py
+++ b/buckthornstile/samples/tests/test_delivery.py
@@ -103,6 +103,11 @@
     def kill_an_entry(self, entry):
         self.world.entries[entry].kill()
 
+    @rule(entry=ENTRIES)
+    def the_trainer_restarts(self, entry):
+        self.world.restart_trainer()
+        self.world.attach(self.world.entries[entry])
+
     def teardown(self):
         if hasattr(self, "world"):
             self.world.run_calmly()
@@ -173,6 +178,21 @@
         return super().on_attach(attach, received, trainer_version, now)
 
 
+class LotThatKeepsAcknowledgements(Lot):
+    """Does not believe a trainer that has lost its samples."""
+
+    def on_attach(self, *arguments):
+        self._slots.reopen_all_but = lambda received: None
+        return super().on_attach(*arguments)
+
+
+class LotWithLateAcknowledgements(Lot):
+    """Takes acknowledgements of an earlier attach."""
+
+    def on_acknowledge(self, slots, *, attach=None):
+        super().on_acknowledge(slots)
+
+
 NAIVE = {
     "labels by the state before": {"make_tracker": LabelByStateBefore},
     "no removal of duplicates": {"make_received": ReceivedWithoutDuplicates},
@@ -189,6 +209,32 @@
         run_machine(NAIVE[name], examples=300, phases=(Phase.generate,))
 
 
+@pytest.mark.parametrize("late", [False, True])
+@pytest.mark.parametrize(
+    "make_lot", [Lot, LotThatKeepsAcknowledgements, LotWithLateAcknowledgements]
+)
+def test_a_restarted_trainer_gets_the_whole_lot(make_lot, late):
+    world = World(make_lot=make_lot)
+    entry = world.entries[0]
+    world.attach(entry)
+    world.run_calmly()
+    naive = LotWithLateAcknowledgements if late else LotThatKeepsAcknowledgements
+    if late:
+        lost = [(slot, world.stream[1]) for slot, _ in world.taken]
+    world.restart_trainer()
+    world.attach(entry)
+    if late:
+        world.acknowledgements = lost
+        while world.acknowledgements:
+            world.acknowledge()
+    if make_lot is naive:
+        with pytest.raises(PromiseBroken, match="stalls"):
+            world.run_calmly()
+    elif make_lot is Lot:
+        world.run_calmly()
+        assert len(world.taken) == 6
+
+
 @pytest.mark.parametrize("make_lot", [Lot, LotWithoutFencing])
 def test_a_late_attach_does_not_take_the_stream_back(make_lot):
     world = World(make_lot=make_lot)
