--- a/buckthornstile/entry/_changes.py
+++ b/buckthornstile/entry/_changes.py
@@ -54,6 +54,17 @@
         self._changes.append(Change(self.read_wall(), code, message, subject))
         log_change(code, message, subject=subject)
 
-    def list_changes(self) -> list[dict[str, object]]:
-        """Lists the kept changes, oldest first, ready for JSON."""
-        return [asdict(change) for change in self._changes]
+    def list_changes(self, subject: str = "") -> list[dict[str, object]]:
+        """Lists the kept changes, oldest first, ready for JSON.
+
+        Args:
+            subject: What they concern; empty for all.
+
+        Returns:
+            The changes.
+        """
+        return [
+            asdict(change)
+            for change in self._changes
+            if subject in ("", change.subject)
+        ]
--- a/buckthornstile/entry/_daemon.py
+++ b/buckthornstile/entry/_daemon.py
@@ -343,9 +343,9 @@
         """Makes what ``buckthornstile status`` shows."""
         return make_status(self)
 
-    def make_explanation(self) -> dict[str, object]:
-        """Makes what ``buckthornstile explain`` shows."""
-        return make_explanation(self)
+    def make_explanation(self, subject: str = "") -> dict[str, object]:
+        """Makes what ``buckthornstile explain`` shows, of one subject or all."""
+        return make_explanation(self, subject)
 
     def render_metrics(self) -> str:
         """Renders the metrics for a scraper."""
--- a/buckthornstile/entry/_handlers.py
+++ b/buckthornstile/entry/_handlers.py
@@ -36,8 +36,11 @@
         self.entry = entry
 
     def set_default_headers(self) -> None:
-        """Leaves out the server's name; tornado calls this."""
+        """Sets what every answer carries; tornado calls this."""
         self.clear_header("Server")
+        if self.entry.stopping:
+            # A caller on a kept connection must come again through another entry.
+            self.set_header("Connection", "close")
 
     def write_error(self, status_code: int, **kwargs: object) -> None:
         """Answers an unforeseen error with a code; tornado calls this."""
@@ -227,7 +230,8 @@
 
     def get(self) -> None:
         """Answers with the last changes of state and refusals by code."""
-        self.finish(self.entry.make_explanation())
+        subject = self.get_query_argument("subject", "")
+        self.finish(self.entry.make_explanation(subject))
 
 
 class TrainerVersionHandler(BodyHandler):
--- a/buckthornstile/entry/_status.py
+++ b/buckthornstile/entry/_status.py
@@ -88,11 +88,12 @@
     }
 
 
-def make_explanation(entry: "Entry") -> dict[str, object]:
+def make_explanation(entry: "Entry", subject: str = "") -> dict[str, object]:
     """Makes what ``buckthornstile explain`` shows: changes, and refusals by code.
 
     Args:
         entry: The entry.
+        subject: What the changes concern; empty for all.
 
     Returns:
         A JSON object.
@@ -100,7 +101,7 @@
     errors = entry.counters.items().get("errors", {})
     return {
         "process": entry.identity.process,
-        "changes": entry.changes.list_changes(),
+        "changes": entry.changes.list_changes(subject),
         "errors": {dict(labels).get("code", ""): n for labels, n in errors.items()},
         "dispatcher": asdict(entry.dispatcher.counters),
         "control": dict(entry.control.counters),
