Put the lease's, order's and log's settings in force

Change: the settings reach the lease's fold and keeper, the order and report planners, the log reader and the store of finished samples; the handler guards.

--- a/buckthornstile/agent/_daemon.py
+++ b/buckthornstile/agent/_daemon.py
@@ -130,7 +130,10 @@
                 maximum_items_per_account=settings.queue_length,
             ),
             limit=self.limit,
-            finished=FinishedSamples(maximum_age=settings.finished_sample_age),
+            finished=FinishedSamples(
+                maximum_samples=settings.max_finished_samples,
+                maximum_age=settings.finished_sample_age,
+            ),
             ledger=UsageLedger(settings.process),
             get_condition=self.get_condition,
             read_clock=self.read_clock,
--- a/buckthornstile/control/_core.py
+++ b/buckthornstile/control/_core.py
@@ -17,7 +17,7 @@
 from buckthornstile.control._fold import ControlFold
 from buckthornstile.control._reports import ReportPlanner
 from buckthornstile.control._snapshots import SnapshotPlanner
-from buckthornstile.lease import LeaseKeeper
+from buckthornstile.lease import LeaseFold, LeaseKeeper
 from buckthornstile.orders import (
     AppendOrderRecord,
     OrderAnswer,
@@ -252,6 +252,9 @@
     grace: float = 12.0,
     snapshot_records: int = 5_000,
     snapshot_seconds: float = 300.0,
+    order_timeout: float = 1.5,
+    margin: float = 2.0,
+    renewal_interval: float | None = None,
 ) -> ControlCore:
     """Makes a control core with all its parts over one fold.
 
@@ -265,6 +268,11 @@
         grace: Seconds from a window's end to its seal.
         snapshot_records: Records after which a snapshot is due.
         snapshot_seconds: Seconds after which a snapshot is due.
+        order_timeout: Longest time that an order or report may take, in seconds.
+        margin: Seconds by which followers wait longer than the lease; at least
+            ``order_timeout`` is taken, and it must be the same everywhere.
+        renewal_interval: Seconds between renewals; a third of the duration by
+            default.
 
     Returns:
         The core.
@@ -273,13 +281,20 @@
         >>> make_control_core("e1", "i", random.Random(0)).keeper.holder
         'e1'
     """
-    fold = ControlFold()
+    lease = LeaseFold(longest_order=max(margin, order_timeout))
+    fold = ControlFold(lease=lease)
     return ControlCore(
         fold,
         LeaseKeeper(
-            fold.lease, holder, incarnation, rng, duration=duration, jitter=jitter
+            fold.lease,
+            holder,
+            incarnation,
+            rng,
+            duration=duration,
+            jitter=jitter,
+            renewal_interval=renewal_interval,
         ),
-        OrderPlanner(fold.orders),
-        ReportPlanner(fold.usage, window=window, grace=grace),
+        OrderPlanner(fold.orders, timeout=order_timeout),
+        ReportPlanner(fold.usage, window=window, grace=grace, timeout=order_timeout),
         SnapshotPlanner(fold, records=snapshot_records, seconds=snapshot_seconds),
     )
--- a/buckthornstile/control/_runner.py
+++ b/buckthornstile/control/_runner.py
@@ -36,7 +36,7 @@
 
 DEFAULT_TICK_SECONDS = 0.25
 DEFAULT_APPEND_TIMEOUT_SECONDS = 3.0
-READ_WAIT_SECONDS = 1.0
+DEFAULT_READ_WAIT_SECONDS = 1.0
 READ_TIMEOUT_SECONDS = 5.0
 MAX_BACKOFF_SECONDS = 5.0
 MAX_TASKS = 128
@@ -56,6 +56,7 @@
         sleep: Waits for some seconds.
         tick: Seconds between decisions.
         append_timeout: Seconds after which an append counts as unanswered.
+        read_wait: Seconds that a read waits at the log's end.
 
     Attributes:
         is_candidate: Whether this process may claim; set by its owner.
@@ -74,6 +75,7 @@
         sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
         tick: float = DEFAULT_TICK_SECONDS,
         append_timeout: float = DEFAULT_APPEND_TIMEOUT_SECONDS,
+        read_wait: float = DEFAULT_READ_WAIT_SECONDS,
     ) -> None:
         self.ports = ports
         self.core = core
@@ -84,6 +86,7 @@
         self.sleep = sleep
         self.tick = tick
         self.append_timeout = append_timeout
+        self.read_wait = read_wait
         self.is_candidate = True
         self.counters: Counter[str] = Counter()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -180,7 +183,7 @@
         backoff = self.tick
         while not self._is_stopped:
             try:
-                await self.read_once(wait=READ_WAIT_SECONDS)
+                await self.read_once(wait=self.read_wait)
                 backoff = self.tick
             except Exception:
                 # Whatever an adapter raises, the log is read on later.
--- a/buckthornstile/entry/_daemon.py
+++ b/buckthornstile/entry/_daemon.py
@@ -127,6 +127,9 @@
             window=settings.usage_window,
             grace=settings.usage_seal_delay,
             snapshot_seconds=settings.snapshot_interval,
+            order_timeout=settings.order_timeout,
+            margin=settings.lease_margin,
+            renewal_interval=settings.lease_renewal_interval,
         )
         tracked = PlatformPorts(
             self.log, ports.vm_list, ports.orders, ports.usage_reports, ports.weights
@@ -136,6 +139,7 @@
             self.control,
             self._send_agent_order,
             listeners=[self._on_record],
+            read_wait=settings.log_wait,
         )
         self.weights = WeightDuty(self)
         self.snapshots = SnapshotDuty(self)
--- a/buckthornstile/entry/_duties.py
+++ b/buckthornstile/entry/_duties.py
@@ -33,7 +33,6 @@
 TICK_SECONDS = 0.25
 ORDER_TIMEOUT_SECONDS = 15.0
 FETCH_REPEAT_SECONDS = 5.0
-FETCH_ORDER_SECONDS = 2.0
 SNAPSHOT_RETRY_SECONDS = 5.0
 
 
@@ -57,7 +56,9 @@
         while True:
             await asyncio.sleep(TICK_SECONDS)
             now = self.entry.read_clock()
-            term = self.entry.control.may_act(now, order_seconds=FETCH_ORDER_SECONDS)
+            term = self.entry.control.may_act(
+                now, order_seconds=self.entry.settings.order_timeout
+            )
             if term is None:
                 self._planner = None
                 self._fetch_sent_at.clear()
@@ -158,7 +159,7 @@
             term,
             "fetch_version",
             version=self.target,
-            timeout=FETCH_ORDER_SECONDS,
+            timeout=self.entry.settings.order_timeout,
             source="" if parent is None else parent.vm.address,
             source_port=0 if parent is None else parent.vm.port,
         )
@@ -168,7 +169,7 @@
 
     async def _deliver(self, link: AgentLink, order: Order) -> None:
         try:
-            await link.send_order(order, FETCH_ORDER_SECONDS)
+            await link.send_order(order, self.entry.settings.order_timeout)
         except (BuckthornstileError, TimeoutError):
             self.entry.counters.increment(CounterName("fetch_orders_unanswered"))
 
--- a/buckthornstile/entry/_handlers.py
+++ b/buckthornstile/entry/_handlers.py
@@ -29,16 +29,18 @@
         entry: The entry.
     """
 
-    entry: "Entry"
+    entry: "Entry" = None  # type: ignore[assignment]
 
     def initialize(self, entry: "Entry") -> None:
         """Stores the entry; tornado calls this."""
         self.entry = entry
+        self.set_default_headers()
 
     def set_default_headers(self) -> None:
         """Sets what every answer carries; tornado calls this."""
         self.clear_header("Server")
-        if self.entry.stopping:
+        # Tornado calls this once before the handler knows its entry.
+        if self.entry is not None and self.entry.stopping:
             # A caller on a kept connection must come again through another entry.
             self.set_header("Connection", "close")
 
--- a/buckthornstile/entry/_scale.py
+++ b/buckthornstile/entry/_scale.py
@@ -50,7 +50,7 @@
             if not self.entry.settings.scale_maximum:
                 continue
             now = self.entry.read_clock()
-            if self.entry.control.may_act(now, order_seconds=1.0) is None:
+            if self.entry.control.may_act(now, order_seconds=0) is None:
                 self._held_since = None
                 continue
             if self._held_since is None:
--- a/buckthornstile/lease/_keeper.py
+++ b/buckthornstile/lease/_keeper.py
@@ -54,6 +54,8 @@
         rng: The random source of the jitter.
         duration: The lease's duration, in seconds.
         jitter: Longest extra wait before a claim, in seconds.
+        renewal_interval: Seconds between renewals; a third of the duration by
+            default.
 
     Example:
         >>> fold = LeaseFold()
@@ -77,6 +79,7 @@
         *,
         duration: float = DEFAULT_DURATION_SECONDS,
         jitter: float = DEFAULT_JITTER_SECONDS,
+        renewal_interval: float | None = None,
     ) -> None:
         self.fold = fold
         self.holder = holder
@@ -84,6 +87,7 @@
         self.rng = rng
         self.duration = duration
         self.jitter = jitter
+        self.renewal_interval = renewal_interval
         self.stopping = False
         self._granted_from = _NEVER
         self._claims_sent: dict[tuple[Term, int], float] = {}
@@ -201,6 +205,8 @@
                 del self._renewals_sent[sequence]
 
     def _get_renewal_interval(self) -> float:
+        if self.renewal_interval is not None:
+            return self.renewal_interval
         return self.duration / RENEWALS_PER_DURATION
 
     def _decide_held(self, now: float) -> LeaseAction | None:
--- a/buckthornstile/samples/_finished.py
+++ b/buckthornstile/samples/_finished.py
@@ -18,6 +18,7 @@
 from buckthornstile.wire import FinishedSample, Slot
 
 DEFAULT_MAXIMUM_BYTES = 64 << 20
+DEFAULT_MAXIMUM_SAMPLES = 16_384
 DEFAULT_MAXIMUM_AGE_S = 900.0
 MAX_FENCES = 16_384
 
@@ -56,6 +57,7 @@
 
     Args:
         maximum_bytes: Bodies held in all; the oldest sample goes first.
+        maximum_samples: Samples held in all; the oldest goes first.
         maximum_age: Seconds that a sample is held.
 
     Example:
@@ -72,9 +74,11 @@
         self,
         *,
         maximum_bytes: int = DEFAULT_MAXIMUM_BYTES,
+        maximum_samples: int = DEFAULT_MAXIMUM_SAMPLES,
         maximum_age: float = DEFAULT_MAXIMUM_AGE_S,
     ) -> None:
         self.maximum_bytes = maximum_bytes
+        self.maximum_samples = maximum_samples
         self.maximum_age = maximum_age
         self.counters = FinishedCounters()
         self.held_bytes = 0
@@ -192,11 +196,15 @@
         return dropped
 
     def _evict(self) -> None:
-        while self.held_bytes > self.maximum_bytes and len(self._held) > 1:
+        while self._is_full() and len(self._held) > 1:
             lot, slot = next(iter(self._held))
             self._remove(lot, slot)
             self.counters.evicted += 1
 
+    def _is_full(self) -> bool:
+        too_many = len(self._held) > self.maximum_samples
+        return too_many or self.held_bytes > self.maximum_bytes
+
     def _remove(self, lot: LotId, slot: Slot) -> bool:
         held = self._held.pop((lot, slot), None)
         if held is None:
