Start upstreams also in failure domains that have none yet; show it on processes

Cause: the plan's supply listed only domains where the service had a live upstream, so an empty domain never got one (found while writing the process test). Ruled out: the domains of the service's VMs on the list; an empty domain has none. Change: all failure domains that the VM list names count, also with none running.

--- a/buckthornstile/entry/_fleet.py
+++ b/buckthornstile/entry/_fleet.py
@@ -3,7 +3,13 @@
 import asyncio
 from collections.abc import Callable, Iterable
 
-from buckthornstile.base import ProcessName, Role, ServiceName, UpstreamId
+from buckthornstile.base import (
+    FailureDomain,
+    ProcessName,
+    Role,
+    ServiceName,
+    UpstreamId,
+)
 from buckthornstile.configuration import Configuration
 from buckthornstile.entry._links import AgentLink, LinkOwner
 from buckthornstile.ports import Vm, VmState
@@ -42,6 +48,7 @@
         self.links: dict[UpstreamId, AgentLink] = {}
         self.vms: dict[UpstreamId, Vm] = {}
         self.entries: tuple[ProcessName, ...] = ()
+        self.failure_domains: frozenset[FailureDomain] = frozenset()
         self._members: dict[ServiceName, frozenset[UpstreamId]] = {}
         self._members_since: dict[ServiceName, float] = {}
         self._wanted: frozenset[UpstreamId] = frozenset()
@@ -50,6 +57,7 @@
         """Takes in the platform's list."""
         vms = tuple(vms)
         self.entries = tuple(sorted(vm.process for vm in vms if vm.role is Role.ENTRY))
+        self.failure_domains = frozenset(vm.failure_domain for vm in vms)
         self.vms = {vm.upstream: vm for vm in vms if vm.role is Role.AGENT}
         self._note_members()
         self._wanted = self._choose_wanted()
--- a/buckthornstile/entry/_scale.py
+++ b/buckthornstile/entry/_scale.py
@@ -116,7 +116,8 @@
     def _list_supply(
         self, service: ServiceName, links: list[AgentLink]
     ) -> tuple[DomainSupply, ...]:
-        running: dict[FailureDomain, int] = {}
+        # A domain without one of the service's upstreams may still get one.
+        running = dict.fromkeys(self.entry.fleet.failure_domains, 0)
         for link in links:
             domain = link.view.failure_domain
             running[domain] = running.get(domain, 0) + 1
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -4,10 +4,12 @@
 loopback address of its own.
 """
 
+import json
 import secrets
 import time
 from collections.abc import Callable, Iterable
 from typing import Any, Self
+from urllib.error import HTTPError
 from urllib.request import Request, urlopen
 
 from buckthornstile.configuration import hash_key
@@ -158,6 +160,23 @@
         """The addresses of the running entries."""
         return [entry.url for entry in self.entries.values() if entry.is_running]
 
+    def call_entry(
+        self, entry: BenchProcess, key: str, path: str, fields: dict[str, Any]
+    ) -> tuple[int, bytes]:
+        """Makes one call through an entry, with a prompt if none is given.
+
+        Returns:
+            The status and the body.
+        """
+        body = json.dumps({"prompt": "set a tooth", **fields}).encode()
+        request = Request(entry.url + path, data=body, method="POST")
+        request.add_header("Authorization", f"Bearer {key}")
+        try:
+            with urlopen(request, timeout=WAIT_SECONDS) as answer:
+                return answer.status, answer.read()
+        except HTTPError as error:
+            return error.code, error.read()
+
     # Configuration
 
     def change(self, *put: ConfigurationItem, remove: Iterable[ItemName] = ()) -> int:
--- /dev/null
+++ b/tests/test_scale.py
@@ -0,0 +1,79 @@
+"""Upstreams are started when the load asks for it, and ordered once."""
+
+import threading
+
+from buckthornstile.records import Rule
+from standins.deployment import Deployment
+
+SETTINGS = {
+    "entry": {
+        "scale_maximum": 2,
+        "scale_interval": 0.5,
+        "scale_start_seconds": 1,
+        "lease_duration": 3,
+        "lease_renewal_interval": 0.5,
+    },
+    "agent": {"initial_limit": 4, "maximum_limit": 4},
+}
+CALLERS = 12
+
+
+def register_spare(deployment, name, domain, service):
+    """Takes a running agent's VM off the list until an order starts it."""
+    agent = deployment.agents[name]
+    deployment.platform.call("DELETE", f"/control/vms/agent-{name}")
+    fields = {
+        "role": "agent",
+        "failure_domain": domain,
+        "address": agent.address,
+        "port": agent.port,
+        "state": "live",
+        "upstream": name,
+        "service": service,
+    }
+    deployment.platform.call("PUT", f"/control/spares/agent-{name}", fields)
+
+
+def send_calls(deployment, key):
+    entry = deployment.entries["e1"]
+    for _ in range(CALLS):
+        deployment.call_entry(entry, key, "/v1/completions", {"max_tokens": 60})
+
+
+def has_served(engine):
+    entries = engine.read_journal()
+    return any(entry.get("uri") == "/v1/completions" for entry in entries)
+
+
+def test_a_backlog_starts_one_upstream_and_never_two():
+    with Deployment(daemon_settings=SETTINGS) as deployment:
+        deployment.add_engine("m1", "bench-a", "models", slots=4, token_seconds=0.003)
+        deployment.add_engine("m2", "bench-b", "models", slots=4, token_seconds=0.003)
+        register_spare(deployment, "m2", "bench-b", "models")
+        deployment.add_entry("e1", "bench-a")
+        deployment.add_entry("e2", "bench-b")
+        key, items = deployment.make_account("mill")
+        rule = Rule(name="c", path="/v1/completions", service="models", idempotent=True)
+        deployment.change(*items, rule)
+        deployment.wait_for(
+            lambda: deployment.read_status("e1")["ready"], "e1 is ready"
+        )
+        callers = [
+            threading.Thread(target=send_calls, args=(deployment, key))
+            for _ in range(CALLERS)
+        ]
+        for caller in callers:
+            caller.start()
+        deployment.wait_for(
+            lambda: has_served(deployment.upstreams["m2"]),
+            "the spare upstream serves",
+        )
+        for caller in callers:
+            caller.join()
+        starts = [
+            order
+            for order in deployment.platform.read_journal("order")
+            if order["action"] == "start"
+        ]
+    assert sum(order["count"] for order in starts) == 1, starts
+    assert starts[0]["failure_domain"] == "bench-b"
