Count an ordered start until its upstream serves

Cause: a start was forgotten after scale_start_seconds, so an order that brought nothing in time was followed by another: 3 starts for one missing upstream on a busy machine (load 20), one for a domain whose neighbour was not known yet. Ruled out: the order planner (each scope's orders had outcomes), two holders (one term). Change: a start counts until the service's upstreams in that domain grow in number, or for five times the start time; the test waits until both domains are known.

--- a/buckthornstile/entry/_scale.py
+++ b/buckthornstile/entry/_scale.py
@@ -1,6 +1,7 @@
 """What the lease holder starts and stops, from the load that agents report."""
 
 import asyncio
+from dataclasses import dataclass
 from statistics import median
 from typing import TYPE_CHECKING
 
@@ -23,6 +24,17 @@
 BACKLOG_SECONDS = 10.0
 """Queued work counts as demand that should be served within this time."""
 GROWTH_SHARE = 0.2
+START_PATIENCE = 5.0
+"""Multiple of the start time after which an order is thought to bring nothing."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Start:
+    """A start that was ordered and has not served yet."""
+
+    at: float
+    service: ServiceName
+    failure_domain: FailureDomain
 
 
 class ScaleDuty:
@@ -40,7 +52,8 @@
         self._held_since: float | None = None
         self._demand: dict[ServiceName, float] = {}
         self._growth: dict[ServiceName, float] = {}
-        self._starts: list[tuple[float, ServiceName, FailureDomain]] = []
+        self._starts: list[_Start] = []
+        self._running: dict[tuple[ServiceName, FailureDomain], int] = {}
 
     async def run(self) -> None:
         """Plans again and again."""
@@ -63,11 +76,8 @@
         """Plans once, and asks control for the orders."""
         settings = self.entry.settings
         policy = ScalePolicy(start_seconds=settings.scale_start_seconds)
-        self._starts = [
-            start
-            for start in self._starts
-            if now - start[0] < settings.scale_start_seconds
-        ]
+        patience = settings.scale_start_seconds * START_PATIENCE
+        self._starts = [s for s in self._starts if now - s.at < patience]
         loads = [
             self._make_load(service, links, now)
             for service, links in self._group_links(now).items()
@@ -77,7 +87,7 @@
         wishes = [self._make_wish(wish) for wish in plan.wishes]
         for wish in plan.wishes:
             if wish.action is ScaleAction.START:
-                start = (now, wish.service, wish.failure_domain)
+                start = _Start(now, wish.service, wish.failure_domain)
                 self._starts += [start] * wish.count
             self.entry.changes.note(
                 "scale.wished",
@@ -122,19 +132,34 @@
             domain = link.view.failure_domain
             running[domain] = running.get(domain, 0) + 1
         drains = self.entry.configuration.current.drains
+        for domain, count in running.items():
+            self._settle_starts(service, domain, count)
         return tuple(
             DomainSupply(
                 domain,
                 running=count,
-                starting=sum(
-                    (name, place) == (service, domain)
-                    for _, name, place in self._starts
-                ),
+                starting=self._count_starts(service, domain),
                 available=domain not in drains,
             )
             for domain, count in sorted(running.items())
         )
 
+    def _count_starts(self, service: ServiceName, domain: FailureDomain) -> int:
+        wanted = (service, domain)
+        return sum((s.service, s.failure_domain) == wanted for s in self._starts)
+
+    def _settle_starts(
+        self, service: ServiceName, domain: FailureDomain, running: int
+    ) -> None:
+        """Forgets the oldest starts as their upstreams begin to serve."""
+        come = running - self._running.get((service, domain), running)
+        self._running[service, domain] = running
+        for start in list(self._starts):
+            wanted = (start.service, start.failure_domain) == (service, domain)
+            if wanted and come > 0:
+                self._starts.remove(start)
+                come -= 1
+
     def _make_wish(self, wish: ScaleWish) -> OrderWish:
         upstream = UpstreamId("")
         if wish.action is ScaleAction.STOP:
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -16,6 +16,7 @@
     "agent": {"initial_limit": 4, "maximum_limit": 4},
 }
 CALLERS = 12
+CALLS = 20
 
 
 def register_spare(deployment, name, domain, service):
@@ -40,6 +41,12 @@
         deployment.call_entry(entry, key, "/v1/completions", {"max_tokens": 60})
 
 
+def knows(deployment, entry, names):
+    status = deployment.read_status(entry)
+    connected = {u["upstream"] for u in status["upstreams"] if u["connected"]}
+    return status["ready"] and connected == names
+
+
 def has_served(engine):
     entries = engine.read_journal()
     return any(entry.get("uri") == "/v1/completions" for entry in entries)
@@ -50,14 +57,17 @@
         deployment.add_engine("m1", "bench-a", "models", slots=4, token_seconds=0.003)
         deployment.add_engine("m2", "bench-b", "models", slots=4, token_seconds=0.003)
         register_spare(deployment, "m2", "bench-b", "models")
+        deployment.add_service("s1", "bench-b", "desk")
         deployment.add_entry("e1", "bench-a")
         deployment.add_entry("e2", "bench-b")
         key, items = deployment.make_account("mill")
         rule = Rule(name="c", path="/v1/completions", service="models", idempotent=True)
         deployment.change(*items, rule)
-        deployment.wait_for(
-            lambda: deployment.read_status("e1")["ready"], "e1 is ready"
-        )
+        for entry in ("e1", "e2"):
+            deployment.wait_for(
+                lambda entry=entry: knows(deployment, entry, {"m1", "s1"}),
+                f"{entry} knows both failure domains",
+            )
         callers = [
             threading.Thread(target=send_calls, args=(deployment, key))
             for _ in range(CALLERS)
