Predict time by class and measured speed; let accounts catch up

Work that nobody waits on counted as a wait for samples. Change: agents report the speed that they see; a changed speed moves the latency baseline too, and late tokens never take the limit below its initial value; heartbeats tell background work apart (new optional field); affinity holds only up to 1.5 times the least predicted time; an account that had less than its share may catch up on up to 4000 tokens.

--- a/benchmarks/policy/cluster.py
+++ b/benchmarks/policy/cluster.py
@@ -134,6 +134,8 @@
         """Makes the report that entries get."""
         self.sequence += 1
         self._note_progress()
+        # What nobody waits on does not keep a sample waiting.
+        queued, work = self.queue.compute_work_ahead(RequestClass.TRAINER)
         return Heartbeat(
             self.sequence,
             0.0,
@@ -142,9 +144,11 @@
             version=self.upstream.version,
             limit=self.limit.limit,
             running=len(self.upstream.running),
-            queued=len(self.queue),
-            queued_tokens=int(self.queue.queued_cost),
-            tokens_per_second=self.upstream.spec.total_speed,
+            queued=queued,
+            queued_tokens=int(work),
+            background_tokens=int(self.queue.queued_cost - work),
+            tokens_per_second=self.limit.tokens_per_second
+            or self.upstream.spec.total_speed,
         )
 
     def _start(self, call: Call, entry: "Entry") -> None:
@@ -292,6 +296,7 @@
             RouteRequest(
                 call.service,
                 cost=call.expected,
+                request_class=call.request_class,
                 prefix=call.prefix if policy.affinity else "",
                 minimum_version=call.minimum_version,
             ),
@@ -300,6 +305,8 @@
             failure_domain=self.failure_domain,
             is_ejected=lambda name: self.ejection.is_ejected(name, now),
             load_factor=policy.load_factor,
+            affinity_factor=policy.affinity_factor,
+            choices=policy.choices,
             heartbeat_timeout=HEARTBEAT_TIMEOUT,
         )
         return choice.upstream
--- a/benchmarks/policy/measures.py
+++ b/benchmarks/policy/measures.py
@@ -92,17 +92,18 @@
 
     Args:
         run: The run.
-        flood: Whether one account floods; its own wait then does not count,
-            and shares are taken over the flood only.
+        flood: Whether one account floods. Then shares are taken over the flood
+            only, and waits only of accounts that ask for no more than their
+            fair share: no policy can keep the others from waiting.
 
     Returns:
         The figures.
     """
     figures = Figures()
     _measure_trainers(run, figures)
-    _measure_waits(run, figures, flood)
     window = FLOOD if flood else (WARM_UP_SECONDS, END_SECONDS)
-    _measure_shares(run, figures, window)
+    overloading = _measure_shares(run, figures, window)
+    _measure_waits(run, figures, overloading if flood else set())
     agents = run.cluster.agents.values()
     figures.overloads = sum(agent.upstream.overloads for agent in agents)
     return figures
@@ -125,19 +126,18 @@
     figures.age_max = max(ages, default=0)
 
 
-def _measure_waits(run, figures: Figures, flood: bool) -> None:
+def _measure_waits(run, figures: Figures, overloading: set[str]) -> None:
     waits, failed, calls = defaultdict(list), 0, 0
     for caller in run.callers:
-        if flood and caller.source.account == run.cluster.site.flooding:
-            continue
+        name = f"{caller.source.account}@{caller.source.service}"
         for call in caller.calls:
-            if call.born_at < WARM_UP_SECONDS:
+            if call.born_at < WARM_UP_SECONDS or name in overloading:
                 continue
             calls += 1
             ran = call.verdict is Verdict.RAN and call.first_at is not None
             failed += not ran
             wait = call.first_at - call.born_at if ran else caller.source.patience
-            waits[caller.source.account].append(wait)
+            waits[name].append(wait)
     figures.p99_by_account = {
         account: compute_percentile(values, 0.99) for account, values in waits.items()
     }
@@ -145,8 +145,10 @@
     figures.worst_p99 = max(figures.p99_by_account.values(), default=0.0)
 
 
-def _measure_shares(run, figures: Figures, window: tuple[float, float]) -> None:
+def _measure_shares(run, figures: Figures, window: tuple[float, float]) -> set[str]:
+    """Measures shares; gives the accounts that ask for more than theirs."""
     begin, end = window
+    overloading: set[str] = set()
     for service in run.cluster.site.services:
         wanted: dict[str, float] = defaultdict(float)
         served: dict[str, float] = defaultdict(float)
@@ -170,9 +172,12 @@
             if share > 0.0:
                 ratio = served[account] / share
                 figures.share_by_account[f"{account}@{service.name}"] = ratio
+            if share < wanted[account] * 0.99:
+                overloading.add(f"{account}@{service.name}")
     ratios = figures.share_by_account
     figures.worst_account = min(ratios, key=lambda name: ratios[name])
     figures.worst_share = ratios[figures.worst_account]
+    return overloading
 
 
 def measure_return(
--- a/benchmarks/policy/policies.py
+++ b/benchmarks/policy/policies.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from math import inf
 
+from buckthornstile.base import RequestClass
 from buckthornstile.limits import ConcurrencyLimit
 from buckthornstile.queueing import FairQueue, PushResult, QueueItem
 
@@ -24,6 +25,9 @@
         load_factor: Bound of affinity, as a multiple of the mean load.
         knee: Whether agents tell the limit how fast streams run.
         burst: Work by which a waited-on account may be ahead of the others.
+        credit: Work on which an account that had less may catch up.
+        affinity_factor: Bound of affinity, as a multiple of the least time.
+        choices: Upstreams drawn at random for a choice.
     """
 
     name: str
@@ -35,7 +39,10 @@
     planned_scale: bool = True
     load_factor: float = 1.25
     knee: bool = True
-    burst: float = 4000.0
+    burst: float = 1000.0
+    credit: float = 4000.0
+    affinity_factor: float = 1.5
+    choices: int = 2
 
 
 def _make_baseline(name: str) -> Policy:
@@ -52,7 +59,9 @@
 
 ROUND_ROBIN = _make_baseline("round_robin")
 LEAST_CONNECTIONS = _make_baseline("least_connections")
-FIRST_VERSION = Policy("first_version", knee=False, burst=inf)
+FIRST_VERSION = Policy(
+    "first_version", knee=False, burst=inf, credit=0.0, affinity_factor=inf
+)
 """The product as first measured, with its decisions frozen."""
 PRODUCT = Policy("product")
 POLICIES = (ROUND_ROBIN, LEAST_CONNECTIONS, FIRST_VERSION, PRODUCT)
@@ -75,6 +84,10 @@
         """The work that waits, in tokens."""
         return sum(item.cost for item in self._items)
 
+    def compute_work_ahead(self, request_class: RequestClass) -> tuple[int, float]:
+        """Computes what waits: all of it, since no class goes first."""
+        return len(self), self.queued_cost
+
     def push(self, item: QueueItem, now: float) -> PushResult:
         """Queues an item unless the queue is full."""
         if len(self._items) >= self.maximum_items:
--- a/benchmarks/policy/scaler.py
+++ b/benchmarks/policy/scaler.py
@@ -20,7 +20,14 @@
 INTERVAL_SECONDS = 2.0
 _SMOOTHING = 0.25
 _BACKLOG_SECONDS = 20.0
-_POLICY = ScalePolicy(start_seconds=15.0, ramp_seconds=6.0, stop_after=8.0)
+# The spare domain is the headroom, so the forecast may use nearly all.
+_POLICY = ScalePolicy(
+    start_seconds=15.0,
+    ramp_seconds=6.0,
+    utilisation=0.95,
+    stop_utilisation=0.9,
+    stop_after=6.0,
+)
 
 
 @dataclass
--- a/buckthornstile/limits/_concurrency.py
+++ b/buckthornstile/limits/_concurrency.py
@@ -100,6 +100,11 @@
         """Requests that may run at the upstream at once."""
         return int(self._limit)
 
+    @property
+    def tokens_per_second(self) -> float:
+        """The upstream's full speed as last seen, or 0 if it is not known."""
+        return self._total_speed.value
+
     def may_start(self, running: int) -> bool:
         """Tells whether one more request may start.
 
@@ -174,7 +179,8 @@
             self.restart(RampRestart.LATENCY_JUMP, now)
             return RampRestart.LATENCY_JUMP
         if self._slow_share > _SLOW_SHARE_TO_DECREASE:
-            self._decrease(now)
+            # What even a cold upstream bears is not taken for its late tokens.
+            self._decrease(now, minimum=min(self._limit, self.initial))
         elif self._may_grow(slow):
             bound = min(self._useful, self.compute_ramp(now))
             self._limit = max(self._limit, min(self._limit + 1.0, bound))
@@ -197,7 +203,12 @@
         best = self._stream_speed.add(speed, now)
         total = self._total_speed.add(tokens / elapsed, now)
         streams = stream_seconds / elapsed
-        if self._is_changed(speed, min(best, total / streams)):
+        expected = min(best, total / streams)
+        if self._is_changed(speed, expected):
+            # First tokens are later by the same factor, and fewer requests at
+            # once would not bring them sooner.
+            self.baseline *= expected / speed
+            self._slow_share = 0.0
             self._stream_speed.reset(speed, now)
             self._total_speed.reset(tokens / elapsed, now)
         elif speed * self.slowdown < best:
@@ -244,8 +255,8 @@
     def _is_fresh(self, now: float) -> bool:
         return now - self._started_at < self.doubling_seconds
 
-    def _decrease(self, now: float) -> None:
+    def _decrease(self, now: float, *, minimum: float = 1.0) -> None:
         if now - self._decreased_at < self.cooldown:
             return
         self._decreased_at = now
-        self._limit = max(1.0, self._limit * _DECREASE)
+        self._limit = max(minimum, self._limit * _DECREASE)
--- a/buckthornstile/limits/_windows.py
+++ b/buckthornstile/limits/_windows.py
@@ -19,6 +19,11 @@
         self._current = 0.0
         self._previous = 0.0
 
+    @property
+    def value(self) -> float:
+        """The greatest value that was added in the window."""
+        return max(self._current, self._previous)
+
     def add(self, value: float, now: float) -> float:
         """Adds a value.
 
@@ -35,7 +40,7 @@
             self._current = 0.0
             self._begun_at = now
         self._current = max(self._current, value)
-        return max(self._current, self._previous)
+        return self.value
 
     def reset(self, value: float, now: float) -> None:
         """Forgets all values but one."""
--- a/buckthornstile/queueing/_fair_queue.py
+++ b/buckthornstile/queueing/_fair_queue.py
@@ -33,14 +33,17 @@
 class _AccountTags:
     """Start tags of accounts over all classes, to tell who is over its share."""
 
-    def __init__(self, burst: float) -> None:
+    def __init__(self, burst: float, credit: float) -> None:
         self.burst = burst
+        self.credit = credit
         self.virtual_time = 0.0
         self._tags: dict[AccountId, float] = {}
         self._heap: list[tuple[float, AccountId]] = []
 
     def activate(self, account: AccountId) -> None:
-        tag = max(self._tags.get(account, 0.0), self.virtual_time)
+        # An account that had less than its share before, as a trainer between
+        # two lots, may catch up on a bounded part of it.
+        tag = max(self._tags.get(account, 0.0), self.virtual_time - self.credit)
         self._tags[account] = tag
         heappush(self._heap, (tag, account))
 
@@ -57,7 +60,7 @@
                 self.virtual_time = max(self.virtual_time, tag)
                 return
             heappop(self._heap)
-            if account not in waiting and tag <= self.virtual_time:
+            if account not in waiting and tag <= self.virtual_time - self.credit:
                 self._tags.pop(account, None)
 
     def get_release(self, account: AccountId) -> float:
@@ -143,7 +146,8 @@
         maximum_items: Items that may wait in all.
         maximum_items_per_account: Items that may wait for one account.
         floor: The least share of work of each lower class, from 0 to 1.
-        burst: Work that an account may be ahead of the others, in tokens.
+        burst: Work by which waited-on calls may be ahead, in tokens.
+        credit: Work on which an account that had less may catch up, in tokens.
 
     Example:
         >>> queue = FairQueue()
@@ -160,14 +164,16 @@
         maximum_items: int = 2048,
         maximum_items_per_account: int = 1024,
         floor: float = 0.05,
-        burst: float = 4000.0,
+        burst: float = 1000.0,
+        credit: float = 4000.0,
     ) -> None:
         self.maximum_items = maximum_items
         self.maximum_items_per_account = maximum_items_per_account
         self.floor = floor
         self.burst = burst
         self.counters = QueueCounters()
-        self._tags = _AccountTags(burst)
+        self.credit = credit
+        self._tags = _AccountTags(burst, credit)
         self._classes = {name: _ClassQueue(name, self._tags) for name in _CLASSES}
         self._items: dict[RequestId, QueueItem] = {}
         self._account_items: dict[AccountId, int] = {}
@@ -191,6 +197,19 @@
             for lane in queue.lanes.values()
         )
 
+    def compute_work_ahead(self, request_class: RequestClass) -> tuple[int, float]:
+        """Computes what waits in a class and those served before it.
+
+        Args:
+            request_class: The class.
+
+        Returns:
+            The number of items, and their work in tokens.
+        """
+        names = _CLASSES[: _CLASSES.index(request_class) + 1]
+        lanes = [lane for name in names for lane in self._classes[name].lanes.values()]
+        return sum(len(lane.items) for lane in lanes), sum(lane.cost for lane in lanes)
+
     def push(self, item: QueueItem, now: float) -> PushResult:
         """Queues an item, or refuses it.
 
--- a/buckthornstile/routing/_choice.py
+++ b/buckthornstile/routing/_choice.py
@@ -9,6 +9,7 @@
     UNKNOWN_VERSION,
     ErrorCode,
     FailureDomain,
+    RequestClass,
     ServiceName,
     UpstreamId,
     WeightVersion,
@@ -43,6 +44,7 @@
     Args:
         service: The service that is asked for.
         cost: The expected work, in tokens.
+        request_class: Who waits on it.
         prefix: A hash of the prompt's beginning or the name of the sample's
             group; empty for no affinity.
         minimum_version: The oldest weights that may serve it.
@@ -55,6 +57,7 @@
 
     service: ServiceName
     cost: float = 1.0
+    request_class: RequestClass = RequestClass.WAITED
     prefix: str = ""
     minimum_version: WeightVersion = UNKNOWN_VERSION
     excluded: frozenset[UpstreamId] = frozenset()
@@ -81,33 +84,37 @@
     retry_after: float = 0.0
 
 
-def predict_wait(view: UpstreamView, cost: float, now: float) -> float:
-    """Predicts how long a request would take beyond its time on an idle upstream.
+def predict_wait(view: UpstreamView, request: RouteRequest, now: float) -> float:
+    """Predicts how long a request would take, its wait in the queue included.
 
     Args:
         view: The upstream.
-        cost: The request's expected work, in tokens.
+        request: The request.
         now: The clock reading, in seconds.
 
     Returns:
-        The wait, in seconds; only its order matters.
+        The time, in seconds; only its order matters.
 
     Example:
         >>> view = UpstreamView("u1", "s", "d", heartbeat_at=0.0, limit=4)
-        >>> predict_wait(view, 100, 0.0)
-        0.0
+        >>> predict_wait(view, RouteRequest("s", cost=100), 0.0)
+        4.0
     """
     speed = view.tokens_per_second or _DEFAULT_TOKENS_PER_SECOND
     limit = max(view.limit, 1.0)
     busy = view.compute_busy(now)
-    queued = max(0.0, busy + 1.0 - limit)
+    excess = max(0.0, busy + 1.0 - limit)
     if view.queued:
         cost_ahead = view.queued_tokens / view.queued
     else:
-        cost_ahead = max(cost, 1.0)
-    # Requests that run together share the upstream's speed.
-    slowdown = min(busy / limit, 1.0) * cost / speed
-    return queued * cost_ahead / speed + slowdown
+        cost_ahead = max(request.cost, 1.0)
+    ahead = excess * cost_ahead
+    if request.request_class is RequestClass.BACKGROUND:
+        ahead += view.background_tokens * view.compute_discount(now)
+    # A stream runs at its share of the full speed; fewer streams run a little
+    # faster, which also spreads load between upstreams that have free slots.
+    share = max(1.0 + min(busy, limit), 0.5 * limit)
+    return (ahead + request.cost * share) / speed
 
 
 def choose_upstream(
@@ -120,6 +127,8 @@
     is_ejected: Callable[[UpstreamId], bool] | None = None,
     prefixes: PrefixIndex | None = None,
     load_factor: float = 1.25,
+    affinity_factor: float = 1.5,
+    choices: int = 2,
     domain_bonus: float = 0.002,
     heartbeat_timeout: float = 3.0,
 ) -> RouteChoice:
@@ -134,6 +143,9 @@
         is_ejected: Tells whether an upstream is ejected; None for never.
         prefixes: Hints on which upstream holds which prefix.
         load_factor: Multiple of the mean load up to which affinity holds.
+        affinity_factor: Multiple of the least predicted time up to which
+            affinity holds.
+        choices: Upstreams drawn at random, of which the best is taken.
         domain_bonus: Seconds by which an own-domain upstream may be slower.
         heartbeat_timeout: Seconds without heartbeat that count as dead.
 
@@ -153,19 +165,26 @@
     if len(eligible) == 1:
         return RouteChoice(eligible[0].upstream, ChoiceReason.ONLY_ONE)
     if request.prefix:
-        choice = _choose_by_prefix(eligible, request, now, prefixes, load_factor)
+        bounds = _AffinityBounds(load_factor, affinity_factor)
+        choice = _choose_by_prefix(eligible, request, now, prefixes, bounds)
         if choice is not None:
             return choice
-    first, second = rng.sample(eligible, 2)
+    drawn = rng.sample(eligible, min(choices, len(eligible)))
 
     def cost_of(view: UpstreamView) -> float:
-        wait = predict_wait(view, request.cost, now)
+        wait = predict_wait(view, request, now)
         return wait - (domain_bonus if view.failure_domain == failure_domain else 0.0)
 
-    best = first if cost_of(first) <= cost_of(second) else second
+    best = min(drawn, key=cost_of)
     return RouteChoice(best.upstream, ChoiceReason.LEAST_WAIT)
 
 
+@dataclass(frozen=True, slots=True)
+class _AffinityBounds:
+    load_factor: float
+    affinity_factor: float
+
+
 def _find_eligible(
     views: Iterable[UpstreamView],
     request: RouteRequest,
@@ -209,15 +228,19 @@
     request: RouteRequest,
     now: float,
     prefixes: PrefixIndex | None,
-    load_factor: float,
+    bounds: _AffinityBounds,
 ) -> RouteChoice | None:
     busy = {view.upstream: view.compute_busy(now) for view in eligible}
     total_limit = sum(max(view.limit, 1.0) for view in eligible)
     mean_load = (sum(busy.values()) + 1.0) / total_limit
 
+    waits = {view.upstream: predict_wait(view, request, now) for view in eligible}
+    longest = bounds.affinity_factor * min(waits.values())
+
     def has_room(view: UpstreamView) -> bool:
-        bound = load_factor * mean_load * max(view.limit, 1.0)
-        return busy[view.upstream] + 1.0 <= max(bound, 1.0)
+        bound = bounds.load_factor * mean_load * max(view.limit, 1.0)
+        in_time = waits[view.upstream] <= longest
+        return in_time and busy[view.upstream] + 1.0 <= max(bound, 1.0)
 
     if prefixes is not None:
         holders = [
@@ -226,7 +249,7 @@
             if prefixes.holds(view.upstream, request.prefix) and has_room(view)
         ]
         if holders:
-            best = min(holders, key=lambda view: predict_wait(view, request.cost, now))
+            best = min(holders, key=lambda view: waits[view.upstream])
             return RouteChoice(best.upstream, ChoiceReason.PREFIX_HELD)
     ranked = sorted(
         eligible,
--- a/buckthornstile/routing/_views.py
+++ b/buckthornstile/routing/_views.py
@@ -34,8 +34,9 @@
         state: What the agent said of its readiness.
         limit: Concurrent requests that the agent allows.
         running: Requests at the upstream, by the last heartbeat.
-        queued: Requests in the agent's queue, by the last heartbeat.
+        queued: Requests that wait before a trainer's sample, by the last heartbeat.
         queued_tokens: Their expected work.
+        background_tokens: Expected work in the queue that nobody waits on.
         tokens_per_second: The upstream's recent speed.
         version: The weights that it serves.
         engine_incarnation: The life of its engine.
@@ -60,6 +61,7 @@
     running: int = 0
     queued: int = 0
     queued_tokens: int = 0
+    background_tokens: int = 0
     tokens_per_second: float = 0.0
     version: WeightVersion = UNKNOWN_VERSION
     engine_incarnation: Incarnation = Incarnation("")
@@ -87,6 +89,7 @@
         self.running = heartbeat.running
         self.queued = heartbeat.queued
         self.queued_tokens = heartbeat.queued_tokens
+        self.background_tokens = heartbeat.background_tokens
         self.tokens_per_second = heartbeat.tokens_per_second
         self.version = heartbeat.version
         self.engine_incarnation = heartbeat.engine_incarnation
@@ -131,10 +134,14 @@
         Returns:
             Requests at the upstream and in its agent's queue.
         """
-        age = max(0.0, now - self.heartbeat_at) if self.heartbeat_at else 0.0
-        reported = (self.running + self.queued) * 0.5 ** (age / REPORT_HALF_LIFE)
+        reported = (self.running + self.queued) * self.compute_discount(now)
         return max(reported + self.sent, float(self.in_flight))
 
+    def compute_discount(self, now: float) -> float:
+        """Computes what the last report still counts for, from 0 to 1."""
+        age = 0.0 if self.heartbeat_at is None else max(0.0, now - self.heartbeat_at)
+        return 0.5 ** (age / REPORT_HALF_LIFE)
+
 
 REPORT_HALF_LIFE = 4.0
 """Seconds in which a load report loses half its weight."""
--- a/buckthornstile/wire/_messages.py
+++ b/buckthornstile/wire/_messages.py
@@ -233,6 +233,8 @@
         tokens_per_second: The upstream's recent speed.
         term: The newest control term that the sender knows.
         log_lag: Seconds since the sender last stood at the log's end.
+        background_tokens: Expected work in the queue that nobody waits on; it is
+            not part of ``queued`` and ``queued_tokens``.
     """
 
     sequence: int
@@ -248,6 +250,7 @@
     tokens_per_second: float = 0.0
     term: Term = NO_TERM
     log_lag: float = 0.0
+    background_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/buckthornstile/wire/messages.capnp
+++ b/buckthornstile/wire/messages.capnp
@@ -122,6 +122,7 @@
   tokensPerSecond @10 :Float64;
   term @11 :Int64;
   logLag @12 :Float64;
+  backgroundTokens @13 :UInt64;
 }
 
 struct Relay {
