--- a/buckthornstile/routing/_subset.py
+++ b/buckthornstile/routing/_subset.py
@@ -26,7 +26,7 @@
     entry: ProcessName,
     upstreams: Sequence[Candidate],
     *,
-    size: int = 90,
+    size: int = 40,
     minimum_per_service: int = 8,
     minimum_domains: int = 2,
     entries: Sequence[ProcessName] = (),
