--- a/benchmarks/policy/cluster.py
+++ b/benchmarks/policy/cluster.py
@@ -70,6 +70,8 @@
         self.queue = make_queue(policy)
         self.limit = make_limit(policy, self.upstream.spec.slots, now)
         self.sequence = 0
+        self.seen_tokens = self.upstream.tokens_made
+        self.seen_seconds = self.upstream.stream_seconds
 
     def submit(self, call: Call, entry: "Entry") -> None:
         """Queues a call, or refuses it as not run."""
@@ -131,6 +133,9 @@
     def make_heartbeat(self) -> Heartbeat:
         """Makes the report that entries get."""
         self.sequence += 1
+        self._note_progress()
+        # What nobody waits on does not keep a sample waiting.
+        queued, work = self.queue.compute_work_ahead(RequestClass.TRAINER)
         return Heartbeat(
             self.sequence,
             0.0,
@@ -139,9 +144,11 @@
             version=self.upstream.version,
             limit=self.limit.limit,
             running=len(self.upstream.running),
-            queued=len(self.queue),
-            queued_tokens=int(self.queue.queued_cost),
-            tokens_per_second=self.upstream.spec.total_speed,
+            queued=queued,
+            queued_tokens=int(work),
+            background_tokens=int(self.queue.queued_cost - work),
+            tokens_per_second=self.limit.tokens_per_second
+            or self.upstream.spec.total_speed,
         )
 
     def _start(self, call: Call, entry: "Entry") -> None:
@@ -157,6 +164,15 @@
         self.upstream.start(job)
         call.version = job.version
 
+    def _note_progress(self) -> None:
+        upstream = self.upstream
+        if self.cluster.policy.knee:
+            tokens = int(upstream.tokens_made - self.seen_tokens)
+            seconds = upstream.stream_seconds - self.seen_seconds
+            self.limit.on_progress(tokens, seconds, self.cluster.clock.now)
+        self.seen_tokens = upstream.tokens_made
+        self.seen_seconds = upstream.stream_seconds
+
     def _on_first(self, call: Call) -> None:
         now = self.cluster.clock.now
         call.first_at = now
@@ -280,6 +296,7 @@
             RouteRequest(
                 call.service,
                 cost=call.expected,
+                request_class=call.request_class,
                 prefix=call.prefix if policy.affinity else "",
                 minimum_version=call.minimum_version,
             ),
@@ -288,6 +305,8 @@
             failure_domain=self.failure_domain,
             is_ejected=lambda name: self.ejection.is_ejected(name, now),
             load_factor=policy.load_factor,
+            affinity_factor=policy.affinity_factor,
+            choices=policy.choices,
             heartbeat_timeout=HEARTBEAT_TIMEOUT,
         )
         return choice.upstream
--- a/buckthornstile/wire/_messages.py
+++ b/buckthornstile/wire/_messages.py
@@ -290,6 +290,8 @@
         term: The newest control term that the sender knows.
         log_lag: Seconds since the sender last stood at the log's end.
         fetched_version: The newest weights that the agent holds whole.
+        background_tokens: Expected work in the queue that nobody waits on; it is
+            not part of ``queued`` and ``queued_tokens``.
     """
 
     sequence: int
@@ -306,6 +308,7 @@
     term: Term = NO_TERM
     log_lag: float = 0.0
     fetched_version: WeightVersion = UNKNOWN_VERSION
+    background_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/buckthornstile/wire/messages.capnp
+++ b/buckthornstile/wire/messages.capnp
@@ -140,6 +140,7 @@
   term @11 :Int64;
   logLag @12 :Float64;
   fetchedVersion @13 :Int64;
+  backgroundTokens @14 :UInt64;
 }
 
 struct Relay {
