End every request at an agent, also one given up before its first step

Cause: four ways in which a request got no end or kept its place. (1) A task that is cancelled before its first step never runs, so a request and its cancellation read in one turn left the limit's slot taken for good. (2) Any exception other than a coded one ended the task without an end. (3) A queued request sealed by a retry through another entry was popped without an end, and its ledger place was kept. (4) A sample joined its slot's run before the guard refused its id, which left a waiter without a request. Ruled out: eager cancellation in the link; the scheduler sees all three sources of a cancellation (caller, lost connection, withdrawn key). Change: the task sees the error at its first step, with the true verdict NOT_RUN; every exception becomes INTERNAL with MAY_HAVE_RUN; a sealed request ends with SEALED; the guard comes before the join.

--- a/buckthornstile/agent/_requests.py
+++ b/buckthornstile/agent/_requests.py
@@ -1,7 +1,7 @@
 """What an agent knows of one request between its arrival and its end."""
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from buckthornstile.base import BuckthornstileError
 from buckthornstile.queueing import QueueItem
@@ -21,7 +21,7 @@
         deadline: The clock reading after which nobody wants the answer.
         task: The upstream call, once it runs.
         stop_error: Why the call was cancelled, if it was.
-        cancelled_by_caller: Whether the entry itself gave it up.
+        has_begun: Whether the upstream call's task has made its first step.
     """
 
     dispatch: Dispatch
@@ -30,8 +30,7 @@
     deadline: float
     task: asyncio.Task[None] | None = None
     stop_error: BuckthornstileError | None = None
-    cancelled_by_caller: bool = False
-    tokens_sent: int = field(default=0)
+    has_begun: bool = False
 
     @property
     def is_sample(self) -> bool:
--- a/buckthornstile/agent/_scheduler.py
+++ b/buckthornstile/agent/_scheduler.py
@@ -127,11 +127,11 @@
         check_request(dispatch, self.get_condition())
         if request.is_sample:
             self.finished.check_attach(dispatch.lot, dispatch.attach)
-            if self._join_running(request, now):
-                return
         # A queue that sheds must not leave a mark of the request it refuses, so
         # the guard comes first and is told of the refusal.
         decision = self.table.admit(dispatch, now)
+        if request.is_sample and self._join_running(request, now):
+            return
         if decision.action is GuardAction.REPLAY:
             assert decision.answer is not None
             self._replay(request, decision.answer)
@@ -159,7 +159,6 @@
             minimum_version=dispatch.minimum_version,
         )
         if joined:
-            self.table.admit(dispatch, now)
             self.table.start(dispatch.request_id, now)
             self._open[dispatch.request_id] = request
         return joined
@@ -213,7 +212,11 @@
             self._refuse_waiting(item, error.code, error.message)
             return
         if not self.table.start(item.request_id, now):
-            self._open.pop(item.request_id)
+            # A retry through another entry has sealed it while it waited.
+            self.ledger.finish(incarnation, counter, None)
+            self._refuse_waiting(
+                item, ErrorCode.SEALED, "the request was sealed before its start"
+            )
             return
         self.limit.on_start()
         self._running.add(item.request_id)
@@ -231,7 +234,7 @@
         request_id = request.dispatch.request_id
         started_at = self.read_clock()
         try:
-            result = await self.caller.call(request, started_at)
+            await self._call(request, started_at)
         except BuckthornstileError as error:
             self._fail(request, error)
             self._answer_joined(request_id, error)
@@ -239,14 +242,30 @@
             cancelled = request.stop_error or make_cancelled()
             self._fail(request, cancelled)
             self._answer_joined(request_id, cancelled)
-        else:
-            self._finish(request, result, started_at)
-            self._answer_joined(request_id, result.answer)
         finally:
             self._running.discard(request_id)
             self._open.pop(request_id, None)
         self.pump()
 
+    async def _call(self, request: AgentRequest, started_at: float) -> None:
+        request.has_begun = True
+        if request.stop_error is not None:
+            # Given up in the same turn in which it was to start.
+            raise request.stop_error
+        try:
+            result = await self.caller.call(request, started_at)
+            self._finish(request, result, started_at)
+        except BuckthornstileError:
+            raise
+        except Exception as error:
+            # Whatever breaks, the entry waits for an end.
+            raise BuckthornstileError(
+                ErrorCode.INTERNAL,
+                f"the upstream call broke on a {type(error).__name__}",
+                verdict=Verdict.MAY_HAVE_RUN,
+            ) from error
+        self._answer_joined(request.dispatch.request_id, result.answer)
+
     def _answer_joined(
         self, running: RequestId, outcome: KeptAnswer | BuckthornstileError
     ) -> None:
@@ -354,9 +373,18 @@
         error.verdict = Verdict.MAY_HAVE_RUN
         if request.is_sample and self._leave_running(request, error):
             return
-        if request.task is not None and request.stop_error is None:
-            request.stop_error = error
+        self._stop_running(request, error)
+
+    def _stop_running(self, request: AgentRequest, error: BuckthornstileError) -> None:
+        if request.task is None or request.stop_error is not None:
+            return
+        request.stop_error = error
+        if request.has_begun:
             request.task.cancel()
+            return
+        # A task that is cancelled before its first step never runs, and so would
+        # end nothing; this one sees the error at its first step.
+        error.verdict = Verdict.NOT_RUN
 
     def _leave_running(self, request: AgentRequest, error: BuckthornstileError) -> bool:
         """Ends one request's wait for a sample that others still wait for."""
@@ -370,10 +398,7 @@
             self.table.fail(request_id, error.verdict, self.read_clock())
         request.connection = None
         if unwanted is not None:
-            runner = self._open[unwanted]
-            assert runner.task is not None
-            runner.stop_error = error
-            runner.task.cancel()
+            self._stop_running(self._open[unwanted], error)
         return True
 
     def on_connection_lost(self, connection: Connection) -> None:
