--- a/buckthornstile/agent/_links.py
+++ b/buckthornstile/agent/_links.py
@@ -19,6 +19,7 @@
     Dispatch,
     FinishedList,
     FinishedRequest,
+    FinishedSample,
     Goodbye,
     Heartbeat,
     Message,
@@ -33,6 +34,9 @@
 if TYPE_CHECKING:
     from buckthornstile.agent._daemon import Agent
 
+MAX_LIST_BYTES = 16 << 20
+"""Bodies in one list of finished samples; half of the longest frame."""
+
 
 class EntryLink:
     """One entry's connection.
@@ -153,7 +157,20 @@
     except BuckthornstileError:
         # An older attach gets nothing; its dispatches are refused with a code.
         samples = ()
-    link.connection.send(FinishedList(message.lot, message.attach, samples))
+    fitting = _take_fitting(samples)
+    link.connection.send(FinishedList(message.lot, message.attach, fitting))
+
+
+def _take_fitting(samples: tuple[FinishedSample, ...]) -> tuple[FinishedSample, ...]:
+    """Takes as many samples as fit into one frame; the others are made again."""
+    taken: list[FinishedSample] = []
+    room = MAX_LIST_BYTES
+    for sample in samples:
+        room -= len(sample.body)
+        if room < 0 and taken:
+            break
+        taken.append(sample)
+    return tuple(taken)
 
 
 @handle_message.register
--- a/buckthornstile/agent/_orders.py
+++ b/buckthornstile/agent/_orders.py
@@ -97,9 +97,7 @@
                 return done
             self._check(order, arrived_at)
             await self.fetcher.wait_fetched(order.version)
-            # Another holder may have come, or the time to begin passed.
-            self._check(order, arrived_at)
-            await self._load(order)
+            await self._load(order, arrived_at)
             result = OrderResult(order.order_id, order.term, accepted=True)
             self._results[order.order_id] = result
             while len(self._results) > MAX_REMEMBERED_ORDERS:
@@ -122,9 +120,11 @@
                 ErrorCode.ORDER_UNKNOWN, f"no order {order.action!r} is known here"
             )
 
-    async def _load(self, order: Order) -> None:
+    async def _load(self, order: Order, arrived_at: float) -> None:
         assert self.engine is not None
         state = await self.engine.read_state()
+        # Another holder may have come meanwhile, or the time to begin passed.
+        self._check(order, arrived_at)
         if state.version == order.version:
             return
         self.loading = True
