Bill what ran for nobody, and mend the entry's fleet and retries

Cause, each shown by a test on fakes (an entry's parts joined to real agents by connections in memory): (1) a request whose connection was lost or whose caller had left was settled with no usage; its batch then covered the counter, and the agent's own count of the run was dropped. (2) With no upstream left, the resend loop spent the entry's whole retry budget on one call without sending. (3) The budget was spent on refusals of a drain as well. (4) A goodbye or a leaving notice was kept for ever: an agent that restarted in its place, or a VM that stayed, got no work again. (5) An empty VM list ended keyed calls, and a link that the list had dropped was given up at its first break. (6) A frame that cannot be encoded left its request open in the link. (7) A caller that got a broken answer left the agent's run going. Ruled out for (1): leaving such counters to the agent's recovery, which begins only once the entry is gone, and would hold back every confirmation. FREE_REFUSALS cost no budget. A goodbye ends with the agent's life, a listed notice with the list. A list without any agent is passed over while agents answer; a dropped link is dialled for 30 s more.

--- a/buckthornstile/agent/_links.py
+++ b/buckthornstile/agent/_links.py
@@ -8,9 +8,11 @@
     BuckthornstileError,
     ErrorCode,
     Incarnation,
+    RequestId,
     Verdict,
+    split_request_id,
 )
-from buckthornstile.guard import CallName
+from buckthornstile.guard import CallName, RequestState
 from buckthornstile.wire import (
     AcknowledgeSamples,
     Cancel,
@@ -112,19 +114,32 @@
 
 @handle_message.register
 def _(message: Seal, link: EntryLink) -> None:
-    now = link.agent.read_clock()
-    table = link.agent.scheduler.table
-    if message.idempotency_key:
-        verdict = table.seal_call(
-            CallName(message.account, message.idempotency_key),
-            now,
-            first_attempt_age=message.first_attempt_age,
-        )
-    else:
-        verdict = table.seal(message.request_id, now)
+    if not message.idempotency_key:
+        link.connection.send(_seal_request(message.request_id, link.agent))
+        return
+    verdict = link.agent.scheduler.table.seal_call(
+        CallName(message.account, message.idempotency_key),
+        link.agent.read_clock(),
+        first_attempt_age=message.first_attempt_age,
+    )
     link.connection.send(Sealed(message.request_id, verdict))
 
 
+def _seal_request(request_id: RequestId, agent: "Agent") -> Sealed:
+    """Seals a request, and tells what it used if it ran."""
+    table = agent.scheduler.table
+    verdict = table.seal(request_id, agent.read_clock())
+    line = agent.scheduler.ledger.find(*split_request_id(request_id))
+    return Sealed(
+        request_id,
+        verdict,
+        is_open=table.get_state(request_id) is RequestState.STARTED,
+        is_counted=line is not None,
+        prompt_tokens=0 if line is None else line.prompt_tokens,
+        generated_tokens=0 if line is None else line.generated_tokens,
+    )
+
+
 @handle_message.register
 def _(message: Heartbeat, link: EntryLink) -> None:
     link.heard_at = link.agent.read_clock()
--- a/buckthornstile/agent/tests/fakes.py
+++ b/buckthornstile/agent/tests/fakes.py
@@ -200,8 +200,8 @@
 class World:
     """An agent with its fakes and operators who change its configuration."""
 
-    def __init__(self, *, engine=True, **settings):
-        self.clock = FakeClock()
+    def __init__(self, *, engine=True, clock=None, **settings):
+        self.clock = clock or FakeClock()
         self.upstream = FakeUpstream()
         self.log = FakeLog()
         self.revision = 0
--- a/buckthornstile/entry/_dispatcher.py
+++ b/buckthornstile/entry/_dispatcher.py
@@ -52,7 +52,11 @@
         ErrorCode.VERSION_UNVERIFIABLE,
     }
 )
+FREE_REFUSALS = frozenset({ErrorCode.DRAINING, ErrorCode.SAMPLE_TOO_OLD})
+"""Refusals that cost an upstream nothing, and so nothing of the retry budget."""
+
 MAX_SENDS = 4
+HOME_WAIT_SECONDS = 1.0
 
 
 class AnswerWriter(Protocol):
@@ -151,13 +155,23 @@
         self._counter += 1
         return request_id
 
-    def settle(self, dispatch: Dispatch, end: End | None) -> None:
-        """Counts the usage of a request that has ended.
+    def settle(self, pending: PendingRequest, link: AgentLink, end: End | None) -> None:
+        """Counts the usage of a request that has ended or was given up.
 
         Args:
-            dispatch: The request.
-            end: Its end, or None if none came.
+            pending: The request.
+            link: The link that it was sent over.
+            end: Its end, or None if none came; the agent may still tell it.
         """
+        dispatch = pending.dispatch
+        if end is not None or pending.refused:
+            self._count(dispatch, end)
+            return
+        link.outcomes.add(
+            pending, lambda late: self._count(dispatch, late), self.read_clock()
+        )
+
+    def _count(self, dispatch: Dispatch, end: End | None) -> None:
         counter = int(dispatch.request_id.rpartition("/")[2])
         line = None
         if end is not None and end.verdict is Verdict.RAN:
@@ -229,13 +243,17 @@
         may_have_run = False
         sends = 0
         while True:
+            link: AgentLink | None = None
             try:
                 link = await self._find_link(call, excluded, deadline)
                 sends += 1
                 return await self._send_once(call, link, writer, deadline)
             except BuckthornstileError as error:
                 may_have_run |= error.verdict is not Verdict.NOT_RUN
-                if not self._may_resend(call, error, writer, deadline, sends):
+                # Without a link there is none left to send to.
+                if link is None or not self._may_resend(
+                    call, error, writer, deadline, sends
+                ):
                     self.counters.failed += 1
                     if may_have_run and error.verdict is Verdict.NOT_RUN:
                         error.verdict = Verdict.MAY_HAVE_RUN
@@ -252,7 +270,7 @@
         sends: int,
     ) -> bool:
         """Whether another send is safe, useful and within the budget."""
-        if sends == 0 or sends >= MAX_SENDS or writer.has_begun:
+        if sends >= MAX_SENDS or writer.has_begun:
             return False
         if deadline.has_passed(self.read_clock()):
             return False
@@ -260,6 +278,8 @@
         useful = error.code in RETRYABLE_REFUSALS or error.code in UPSTREAM_FAULTS
         if not (safe and useful):
             return False
+        if error.verdict is Verdict.NOT_RUN and error.code in FREE_REFUSALS:
+            return True
         if self.budget.spend():
             return True
         self.counters.retry_budget_spent += 1
@@ -323,7 +343,9 @@
         view = link.view
         if view.drained or view.leaving:
             return False
-        return link.is_up or await link.wait_connected(min(remaining, 1.0))
+        return link.is_up or await link.wait_connected(
+            min(remaining, HOME_WAIT_SECONDS)
+        )
 
     async def _seal_elsewhere(self, call: Call, upstream: UpstreamId) -> None:
         link = self.fleet.open_link(upstream)
@@ -385,7 +407,7 @@
             self._give_up(pending, link, gone)
             raise
         finally:
-            self.settle(dispatch, end)
+            self.settle(pending, link, end)
         self.note_result(link, end.code)
         self.counters.finished += 1
         return end
--- a/buckthornstile/entry/_fleet.py
+++ b/buckthornstile/entry/_fleet.py
@@ -15,6 +15,8 @@
 )
 
 HOME_CANDIDATES = 2
+FORGET_SECONDS = 30.0
+"""Seconds for which a VM that the list has dropped is dialled again."""
 
 
 class Fleet:
@@ -49,6 +51,10 @@
     def on_vm_list(self, vms: Iterable[Vm]) -> None:
         """Takes in the platform's list."""
         vms = tuple(vms)
+        names_agents = any(vm.role is Role.AGENT for vm in vms)
+        if not names_agents and any(link.is_up for link in self.links.values()):
+            # Agents that answer prove that the list is at fault.
+            return
         self.entries = tuple(sorted(vm.process for vm in vms if vm.role is Role.ENTRY))
         self.vms = {vm.upstream: vm for vm in vms if vm.role is Role.AGENT}
         self._note_members()
@@ -104,14 +110,16 @@
     def _update_link(self, upstream: UpstreamId, link: AgentLink) -> None:
         vm = self.vms.get(upstream)
         if vm is None:
-            if not link.is_up:
+            silent = self.owner.read_clock() - link.heard_at
+            if not link.is_up and silent > FORGET_SECONDS:
                 link.stop()
                 del self.links[upstream]
             return
-        leaving = vm.state is VmState.LEAVING
-        if leaving and not link.view.leaving:
+        if vm.state is VmState.LEAVING and not link.view.leaving:
             self.on_change("the VM list says that the VM leaves", upstream)
-        link.view.leaving = link.view.leaving or leaving
+        if _is_same_place(link.vm, vm):
+            link.vm = vm
+        link.update_leaving()
 
     def apply_configuration(self, configuration: Configuration) -> None:
         """Marks the upstreams of drained failure domains."""
@@ -166,6 +174,7 @@
         for link in self.links.values():
             link.close_if_silent(now)
             link.send(heartbeat)
+            link.ask_outcomes()
 
     def broadcast_configuration(self) -> None:
         """Passes a new configuration on at once, without waiting for heartbeats."""
--- a/buckthornstile/entry/_links.py
+++ b/buckthornstile/entry/_links.py
@@ -20,8 +20,9 @@
     Term,
     Verdict,
 )
+from buckthornstile.entry._outcomes import OpenOutcomes
 from buckthornstile.entry._pending import PendingRequest
-from buckthornstile.ports import Vm
+from buckthornstile.ports import Vm, VmState
 from buckthornstile.routing import UpstreamView
 from buckthornstile.wire import (
     AcknowledgeSamples,
@@ -114,6 +115,8 @@
         self.last_error: ErrorCode | None = None
         self.agent_offset = Offset(-1)
         self.heard_at = owner.read_clock()
+        self.outcomes = OpenOutcomes()
+        self.said_goodbye = False
         self._pending: dict[RequestId, PendingRequest] = {}
         self._seals: dict[RequestId, asyncio.Future[Verdict]] = {}
         self._orders: dict[OrderId, asyncio.Future[OrderResult]] = {}
@@ -135,6 +138,7 @@
         if self.connection is not None:
             self.connection.close()
         self._lose()
+        self.outcomes.close()
 
     @property
     def is_up(self) -> bool:
@@ -190,7 +194,12 @@
             return
         self.connection = connection
         self.heard_at = self.owner.read_clock()
+        if self.incarnation != connection.peer.incarnation:
+            # A goodbye was its earlier life's.
+            self.said_goodbye = False
         self.incarnation = connection.peer.incarnation
+        self.update_leaving()
+        self.ask_outcomes()
         self.connects += 1
         self.last_error = None
         self._connected.set()
@@ -257,17 +266,17 @@
                 ErrorCode.CONNECTION_LOST, "the agent is not connected"
             )
         pending = PendingRequest(dispatch, self.incarnation, on_end=self._on_end)
+        self.send(dispatch)
         self._pending[dispatch.request_id] = pending
         self.view.on_send(float(dispatch.expected_tokens) or 1.0)
-        self.send(dispatch)
         return pending
 
     def _on_end(self, pending: PendingRequest) -> None:
         request_id = pending.dispatch.request_id
         self._pending.pop(request_id, None)
         self.view.on_finish()
-        if pending.overflowed:
-            self.send(Cancel(request_id, "the caller reads too slowly"))
+        if pending.broken:
+            self.send(Cancel(request_id, "the answer is not taken to its end"))
 
     def cancel(self, pending: PendingRequest, error: BuckthornstileError) -> None:
         """Gives a request up; its late replies are dropped."""
@@ -281,6 +290,20 @@
         pending = self._pending.get(reply.request_id)
         if pending is not None:
             pending.push(reply)
+        elif isinstance(reply, End):
+            self.outcomes.on_end(reply)
+
+    def ask_outcomes(self) -> None:
+        """Asks the agent about requests whose usage is not known yet."""
+        incarnation = self.incarnation if self.is_up else Incarnation("")
+        now = self.owner.read_clock()
+        for question in self.outcomes.make_questions(incarnation, now):
+            self.send(question)
+
+    def update_leaving(self) -> None:
+        """Marks the view by the VM list and by what the agent said itself."""
+        listed = self.vm.state is VmState.LEAVING
+        self.view.leaving = listed or self.said_goodbye
 
     async def seal(self, pending: PendingRequest) -> Verdict:
         """Finds out what became of a request whose connection was lost.
@@ -388,6 +411,7 @@
     def on_sealed(self, message: Sealed) -> None:
         """Takes the answer to a seal."""
         _resolve(self._seals, message.request_id, message.verdict)
+        self.outcomes.on_sealed(message)
 
     def on_order_result(self, message: OrderResult) -> None:
         """Takes the result of an order."""
@@ -463,7 +487,8 @@
 
 @handle_reply.register
 def _(message: Goodbye, link: AgentLink) -> None:
-    link.view.leaving = True
+    link.said_goodbye = True
+    link.update_leaving()
 
 
 @handle_reply.register
--- a/buckthornstile/entry/_lots.py
+++ b/buckthornstile/entry/_lots.py
@@ -446,7 +446,7 @@
             self._take_failure(opened, link, pending, error)
         finally:
             opened.requests.pop(pending.dispatch.request_id, None)
-            self.entry.dispatcher.settle(pending.dispatch, end)
+            self.entry.dispatcher.settle(pending, link, end)
             self.wake()
 
     def _take_result(
--- a/buckthornstile/entry/_pending.py
+++ b/buckthornstile/entry/_pending.py
@@ -32,7 +32,8 @@
         self.agent_incarnation = agent_incarnation
         self.on_end = on_end
         self.ended = False
-        self.overflowed = False
+        self.broken = False
+        self.refused = False
         self.check = AnswerCheck()
         self._waiting: deque[Reply | BuckthornstileError] = deque()
         self._waiting_bytes = 0
@@ -48,8 +49,9 @@
             return
         if isinstance(reply, Chunk):
             reply = self._check_chunk(reply)
-        elif isinstance(reply, End) and reply.verdict is Verdict.RAN:
-            reply = self._check_end(reply)
+        elif isinstance(reply, End):
+            self.refused = reply.verdict is not Verdict.RAN
+            reply = reply if self.refused else self._check_end(reply)
         self._waiting.append(reply)
         if not isinstance(reply, Started | Chunk):
             self.ended = True
@@ -61,10 +63,11 @@
         try:
             self.check.add(chunk)
         except BuckthornstileError as error:
+            self.broken = True
             return error
         self._waiting_bytes += len(chunk.data)
         if self._waiting_bytes > MAX_WAITING_BYTES:
-            self.overflowed = True
+            self.broken = True
             return BuckthornstileError(
                 ErrorCode.CANCELLED,
                 "the caller reads too slowly",
--- a/buckthornstile/usage/_ledger.py
+++ b/buckthornstile/usage/_ledger.py
@@ -110,6 +110,15 @@
         else:
             kept[counter] = line
 
+    def find(self, entry: Incarnation, counter: int) -> UsageLine | None:
+        """Finds what a request used, if it ran and is not confirmed yet.
+
+        Example:
+            >>> UsageLedger(ProcessName("a1")).find("e", 0) is None
+            True
+        """
+        return self._kept.get(entry, {}).get(counter)
+
     def confirm(self, entry: Incarnation, through: int) -> None:
         """Learns that the log holds an entry's usage through a counter.
 
--- a/buckthornstile/wire/_messages.py
+++ b/buckthornstile/wire/_messages.py
@@ -265,10 +265,23 @@
 
 @dataclass(frozen=True, slots=True)
 class Sealed:
-    """The agent's answer: what has become of the request by now."""
+    """The agent's answer: what has become of the request by now.
+
+    Args:
+        request_id: The request, or the question.
+        verdict: Whether it may have run.
+        is_open: Whether it still runs.
+        is_counted: Whether it ran to its end, and the agent counted its usage.
+        prompt_tokens: Tokens read.
+        generated_tokens: Tokens made.
+    """
 
     request_id: RequestId
     verdict: Verdict
+    is_open: bool = False
+    is_counted: bool = False
+    prompt_tokens: int = 0
+    generated_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/buckthornstile/wire/messages.capnp
+++ b/buckthornstile/wire/messages.capnp
@@ -123,6 +123,10 @@
 struct Sealed {
   requestId @0 :Text;
   verdict @1 :Text;
+  isOpen @2 :Bool;
+  isCounted @3 :Bool;
+  promptTokens @4 :UInt32;
+  generatedTokens @5 :UInt32;
 }
 
 struct Heartbeat {
