--- a/buckthornstile/agent/_links.py
+++ b/buckthornstile/agent/_links.py
@@ -8,9 +8,11 @@
     BuckthornstileError,
     ErrorCode,
     Incarnation,
+    RequestId,
     Verdict,
+    split_request_id,
 )
-from buckthornstile.guard import CallName
+from buckthornstile.guard import CallName, RequestState
 from buckthornstile.wire import (
     AcknowledgeSamples,
     Cancel,
@@ -19,6 +21,7 @@
     Dispatch,
     FinishedList,
     FinishedRequest,
+    FinishedSample,
     Goodbye,
     Heartbeat,
     Message,
@@ -33,6 +36,9 @@
 if TYPE_CHECKING:
     from buckthornstile.agent._daemon import Agent
 
+MAX_LIST_BYTES = 16 << 20
+"""Bodies in one list of finished samples; half of the longest frame."""
+
 
 class EntryLink:
     """One entry's connection.
@@ -108,19 +114,32 @@
 
 @handle_message.register
 def _(message: Seal, link: EntryLink) -> None:
-    now = link.agent.read_clock()
-    table = link.agent.scheduler.table
-    if message.idempotency_key:
-        verdict = table.seal_call(
-            CallName(message.account, message.idempotency_key),
-            now,
-            first_attempt_age=message.first_attempt_age,
-        )
-    else:
-        verdict = table.seal(message.request_id, now)
+    if not message.idempotency_key:
+        link.connection.send(_seal_request(message.request_id, link.agent))
+        return
+    verdict = link.agent.scheduler.table.seal_call(
+        CallName(message.account, message.idempotency_key),
+        link.agent.read_clock(),
+        first_attempt_age=message.first_attempt_age,
+    )
     link.connection.send(Sealed(message.request_id, verdict))
 
 
+def _seal_request(request_id: RequestId, agent: "Agent") -> Sealed:
+    """Seals a request, and tells what it used if it ran."""
+    table = agent.scheduler.table
+    verdict = table.seal(request_id, agent.read_clock())
+    line = agent.scheduler.ledger.find(*split_request_id(request_id))
+    return Sealed(
+        request_id,
+        verdict,
+        is_open=table.get_state(request_id) is RequestState.STARTED,
+        is_counted=line is not None,
+        prompt_tokens=0 if line is None else line.prompt_tokens,
+        generated_tokens=0 if line is None else line.generated_tokens,
+    )
+
+
 @handle_message.register
 def _(message: Heartbeat, link: EntryLink) -> None:
     link.heard_at = link.agent.read_clock()
@@ -153,7 +172,20 @@
     except BuckthornstileError:
         # An older attach gets nothing; its dispatches are refused with a code.
         samples = ()
-    link.connection.send(FinishedList(message.lot, message.attach, samples))
+    fitting = _take_fitting(samples)
+    link.connection.send(FinishedList(message.lot, message.attach, fitting))
+
+
+def _take_fitting(samples: tuple[FinishedSample, ...]) -> tuple[FinishedSample, ...]:
+    """Takes as many samples as fit into one frame; the others are made again."""
+    taken: list[FinishedSample] = []
+    room = MAX_LIST_BYTES
+    for sample in samples:
+        room -= len(sample.body)
+        if room < 0 and taken:
+            break
+        taken.append(sample)
+    return tuple(taken)
 
 
 @handle_message.register
