--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 STAMP := $(VENV)/.requirements-installed
 JOBS ?= 6
 
-.PHONY: environment demo test lint format bench-path bench-policy fuzz
+.PHONY: environment demo test lint format bench-path bench-policy bench-slopes fuzz
 
 $(STAMP): $(ROOT)requirements.txt $(ROOT)requirements-dev.txt
 	$(PYTHON) -m venv $(VENV)
@@ -37,5 +37,8 @@
 bench-policy: $(STAMP)
 	$(RUN)/python -m benchmarks.policy
 
+bench-slopes: $(STAMP)
+	$(RUN)/python -m benchmarks.slopes
+
 fuzz: $(STAMP)
 	$(RUN)/python -m benchmarks.fuzz
