Keep a call's homes while the VM list is empty

Cause: the homes of calls that may not be repeated were taken from the last VM list alone, so an empty list left orders without any home and each was refused with load.no_upstream, though all agents were connected. Ruled out: links (they stay up while their agents answer). Change: a list without any agent leaves the members as they were; while it lasts the home counts as stable for 0 s, so agents refuse retries of earlier attempts as unprovable rather than risk a second run on entries whose lists differed.

--- a/buckthornstile/entry/_fleet.py
+++ b/buckthornstile/entry/_fleet.py
@@ -59,7 +59,13 @@
             self._update_link(upstream, link)
 
     def _note_members(self) -> None:
-        """Remembers since when each service has had the same upstreams."""
+        """Remembers since when each service has had the same upstreams.
+
+        A list without any agent is no news of them: the former members stay the
+        homes of calls, but cannot be proved to be those of other entries.
+        """
+        if not self.vms:
+            return
         now = self.owner.read_clock()
         members: dict[ServiceName, set[UpstreamId]] = {}
         for vm in self.vms.values():
@@ -155,9 +161,14 @@
         return ranked[:HOME_CANDIDATES]
 
     def get_stable_seconds(self, service: ServiceName) -> float:
-        """Gives the seconds since the service's upstreams last changed."""
+        """Gives the seconds since the service's upstreams last changed.
+
+        While the VM list is empty they are not known to be stable at all.
+        """
         since = self._members_since.get(service)
-        return 0.0 if since is None else self.owner.read_clock() - since
+        if since is None or not self.vms:
+            return 0.0
+        return self.owner.read_clock() - since
 
     def broadcast_heartbeat(self) -> None:
         """Sends a heartbeat to every connected agent, and drops silent ones."""
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -97,12 +97,11 @@
             process=f"agent-{name}",
             failure_domain=domain,
             peer_port=0,
-            platform_url=self.platform.url,
             upstream=name,
             service=service,
             upstream_url=self.upstreams[name].url,
             upstream_kind=kind,
-            **{**self.daemon_settings.get("agent", {}), **settings},
+            **self._make_settings("agent", settings),
         )
         self.agents[name] = agent
         self.list_agent(name, domain, service)
@@ -136,8 +135,7 @@
             process=name,
             failure_domain=domain,
             http_port=0,
-            platform_url=self.platform.url,
-            **{**self.daemon_settings.get("entry", {}), **settings},
+            **self._make_settings("entry", settings),
         )
         self.entries[name] = entry
         self.platform.call(
@@ -153,6 +151,10 @@
         )
         return entry
 
+    def _make_settings(self, role: str, settings: dict[str, Any]) -> dict[str, Any]:
+        common = {"platform_url": self.platform.url}
+        return {**common, **self.daemon_settings.get(role, {}), **settings}
+
     @property
     def entry_urls(self) -> list[str]:
         """The addresses of the running entries."""
--- a/standins/platform/_application.py
+++ b/standins/platform/_application.py
@@ -23,7 +23,9 @@
     Kinds: ``down`` (no effect, connection dropped), ``slow`` (waits
     ``seconds``), ``lose_answer`` (takes effect, hangs ``seconds``, drops the
     connection) and ``late_answer`` (takes effect, answers after ``seconds``). The
-    kind ``lag`` makes the VM list ``seconds`` old from then on.
+    kind ``lag`` makes the VM list ``seconds`` old from then on, and ``empty``
+    empties it. A target may name
+    one method of an interface, such as ``log.post``.
     """
 
     interface = ""
@@ -38,24 +40,30 @@
 
     async def prepare(self) -> None:
         """Applies the faults that come before the effect."""
-        if fault := self.faults.take("slow", self.interface):
+        if fault := self._take("slow"):
             await asyncio.sleep(min(fault.seconds, MAX_HANG))
-        if self.faults.take("down", self.interface):
+        if self._take("down"):
             self.journal.add("dropped", interface=self.interface)
             drop_connection(self)
             raise web.Finish
 
     async def answer(self, value: dict[str, Any], *, status: int = 200) -> None:
         """Answers, unless a fault loses or delays the answer."""
-        if fault := self.faults.take("lose_answer", self.interface):
+        if fault := self._take("lose_answer"):
             await asyncio.sleep(min(fault.seconds, MAX_HANG))
             drop_connection(self)
             return
-        if fault := self.faults.take("late_answer", self.interface):
+        if fault := self._take("late_answer"):
             await asyncio.sleep(min(fault.seconds, MAX_HANG))
         self.set_status(status)
         self.write(value)
 
+    def _take(self, kind: str) -> Fault | None:
+        method = (self.request.method or "").lower()
+        return self.faults.take(kind, self.interface) or self.faults.take(
+            kind, f"{self.interface}.{method}"
+        )
+
     @property
     def caller(self) -> str:
         """The process that says it calls."""
@@ -106,7 +114,9 @@
 
     async def get(self) -> None:
         """Lists VMs."""
-        await self.answer({"vms": self.state.vms.list(now=time.monotonic())})
+        is_empty = self._take("empty") is not None
+        vms = [] if is_empty else self.state.vms.list(now=time.monotonic())
+        await self.answer({"vms": vms})
 
 
 class OrderHandler(PlatformHandler):
--- a/tests/checker.py
+++ b/tests/checker.py
@@ -30,7 +30,8 @@
         answer: The answer's body, or the events' data of a stream.
         code: The error's code.
         verdict: The error's verdict.
-        at: When it ended, in seconds since the epoch.
+        began: When it began, in seconds since the epoch.
+        ended: When it ended; 0 until then.
     """
 
     account: str
@@ -41,7 +42,8 @@
     answer: bytes | list[bytes] = b""
     code: str = ""
     verdict: str = ""
-    at: float = 0.0
+    began: float = 0.0
+    ended: float = 0.0
 
 
 @dataclass(slots=True)
@@ -151,7 +153,7 @@
     for call in evidence.calls:
         if call.status == RAN_STATUS:
             _check_answer(call)
-        elif call.status == 0:
+        elif call.ended:
             assert call.code and call.verdict, f"{call.name}: an error without a code"
 
 
@@ -226,16 +228,27 @@
 
 
 def check_one_in_charge(evidence: Evidence) -> None:
-    """Orders and reports of two terms never interleave, and a term is one's.
+    """Orders and reports of two processes never interleave.
 
-    In the platform's journal the accepted orders and reports have terms that
-    never fall, and each term comes from one process; so for the orders that
-    each engine accepted.
+    A process whose order or report the platform took must have claimed the lease
+    in the log since any other process last acted. The terms of accepted orders
+    never fall, at the platform and at each engine, and a term is one process's.
+    A report bears the term that sealed its window, so its term may be older.
     """
-    acts = [e for e in evidence.platform if e["what"] in ("order", "usage_report")]
-    accepted = [e for e in acts if not e.get("refused")]
-    assert all(e["by"] for e in accepted), "the platform does not see who acts"
-    check_terms([(e["term"], e["by"]) for e in accepted])
+    acted = ""
+    claimed: set[str] = set()
+    for entry in evidence.platform:
+        if entry["what"] == "append" and '"lease.claim"' in entry["data"]:
+            claimed.add(json.loads(entry["data"])["holder"])
+        elif entry["what"] in ("order", "usage_report") and not entry.get("refused"):
+            by = entry["by"]
+            assert by, "the platform does not see who acts"
+            assert by == acted or by in claimed, f"{by} acts after {acted} unclaimed"
+            claimed = claimed if by == acted else set()
+            acted = by
+            claimed.discard(by)
+    orders = [e for e in evidence.platform if e["what"] == "order"]
+    check_terms([(e["term"], e["by"]) for e in orders if not e["refused"]])
     for journal in evidence.upstreams.values():
         loads = [e for e in journal if e["what"] == "load_version"]
         check_terms([(e["term"], "") for e in loads if not e["refused"]])
--- a/tests/support.py
+++ b/tests/support.py
@@ -4,6 +4,7 @@
 import contextlib
 import itertools
 import json
+import sys
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 from concurrent.futures import ThreadPoolExecutor
@@ -108,6 +109,7 @@
             ]
         for future in started:
             future.result()
+        self.entries = dict(sorted(self.entries.items()))
         self.key, items = self.make_account("mill", weight=1.0)
         self.evidence.keys.append(self.key)
         self.change(*items, *make_rules())
@@ -155,10 +157,11 @@
         """Reads what an entry knows of the lease."""
         return self.read_status(entry)["control"]
 
-    def find_holder(self) -> str:
+    def find_holder(self, *, besides: str = "") -> str:
         """Finds the entry that holds the lease, or an empty name."""
         for name, process in self.entries.items():
-            if process.is_running and self.read_control(name)["is_holder"]:
+            is_asked = process.is_running and name != besides
+            if is_asked and self.read_control(name)["is_holder"]:
                 return name
         return ""
 
@@ -171,6 +174,35 @@
         """Drains a failure domain."""
         self.change(Drain(name=failure_domain))
 
+    async def run_command(self, *words: str) -> tuple[int, dict[str, Any]]:
+        """Runs an operator's command, and gives exit code and JSON answer."""
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "buckthornstile",
+            *words,
+            f"--platform_url={self.platform.url}",
+            "--json",
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.DEVNULL,
+        )
+        output, _ = await process.communicate()
+        assert process.returncode is not None
+        return process.returncode, json.loads(output)
+
+    async def follow_history(self) -> list[dict[str, Any]]:
+        """Reads the accepted changes, and goes on from the last revision."""
+        _, history = await self.run_command("config", "history")
+        self._revision = history["changes"][-1]["revision"]
+        return history["changes"]
+
+    def find_append(self, text: str) -> float:
+        """Finds when the log first took a record with this text."""
+        for entry in self.platform.read_journal("append"):
+            if text in entry["data"]:
+                return entry["at"]
+        raise LookupError(text)
+
     # Callers
 
     def make_caller(
@@ -181,10 +213,12 @@
         urls = entries or self.entry_urls
         return CallerClient(urls, key or self.key, policy=policy)
 
-    async def order(self, caller: CallerClient, *, timeout: float = 30.0) -> CallSeen:
+    async def order(
+        self, caller: CallerClient, *, timeout: float = 30.0, padding: int = 0
+    ) -> CallSeen:
         """Sends an order, which must not run twice."""
         name = f"order-{next(self.names)}"
-        body = json.dumps({"name": name}).encode()
+        body = json.dumps({"name": name, "padding": "x" * padding}).encode()
         seen = CallSeen("mill", "order", name, body)
         return await self._see(seen, caller.call("/orders", body, timeout=timeout))
 
@@ -217,18 +251,20 @@
         return await self._see(seen, call)
 
     async def _see(self, seen: CallSeen, call: Awaitable[Any]) -> CallSeen:
+        seen.began = time.time()
         self.evidence.calls.append(seen)
         try:
             answer = await call
             seen.status, seen.answer = answer.status, answer.body
         except BuckthornstileError as error:
             seen.code, seen.verdict = error.code.value, error.verdict.value
-        seen.at = time.time()
+        seen.ended = time.time()
         return seen
 
     async def _see_stream(
         self, seen: CallSeen, events: AsyncIterator[bytes]
     ) -> CallSeen:
+        seen.began = time.time()
         self.evidence.calls.append(seen)
         received: list[bytes] = []
         seen.answer = received
@@ -238,7 +274,7 @@
             seen.status = 200
         except BuckthornstileError as error:
             seen.code, seen.verdict = error.code.value, error.verdict.value
-        seen.at = time.time()
+        seen.ended = time.time()
         return seen
 
     @contextlib.asynccontextmanager
--- /dev/null
+++ b/tests/test_operators.py
@@ -0,0 +1,60 @@
+"""Two operators change the configuration at the same time."""
+
+import asyncio
+
+from buckthornstile.commands import ExitCode
+from tests.support import World
+
+SHEET = """kind,name,account,path,service,idempotent,maximum_age,weight
+account,mill,,,,,,{weight}
+account,{other},,,,,,1
+key,mill-key,mill,,,,,
+rule,completions,*,/v1/completions,geometry-models,yes,2,
+rule,orders,*,/orders,shop-desk,no,,
+rule,lookup,*,/lookup,shop-desk,yes,,
+"""
+
+
+def test_two_operators_race(tmp_path):
+    async def scenario(world):
+        before = len(await world.follow_history())
+        outcomes = []
+        for turn in range(2):
+            sheets = []
+            for operator in ("ann", "ben"):
+                sheet = tmp_path / f"{operator}-{turn}.csv"
+                weight = {"ann": 2, "ben": 3}[operator] + 2 * turn
+                sheet.write_text(SHEET.format(weight=weight, other=f"{operator}{turn}"))
+                sheets.append(str(sheet))
+            race = [world.run_command("config", "apply", sheet) for sheet in sheets]
+            if turn == 1:
+                race.append(world.run_command("keys", "withdraw", "mill-key"))
+            outcomes += await asyncio.gather(*race)
+        codes = {code for code, _ in outcomes}
+        assert codes <= {ExitCode.OK, ExitCode.CONFLICT}
+        won = [a["revision"] for code, a in outcomes if code == 0 and a["changed"]]
+        # Each accepted command has a revision of its own, and no other exists.
+        changes = await world.follow_history()
+        made = [change["revision"] for change in changes[before:]]
+        assert sorted(won) == made == list(range(before + 1, before + 1 + len(made)))
+        lost = [answer["code"] for code, answer in outcomes if code]
+        assert set(lost) <= {"configuration.conflict"}
+        await check_in_force(world, changes[-1])
+
+    async def check_in_force(world, last):
+        _, shown = await world.run_command("config", "show")
+        assert shown["revision"] == last["revision"]
+        for entry in world.entries:
+            await world.until(
+                lambda e=entry: (
+                    world.read_status(e)["configuration"]["revision"]
+                    == last["revision"]
+                ),
+                "it is in force",
+                seconds=5.0,
+            )
+        keys = [item for item in shown["items"] if item["name"] == "mill-key"]
+        assert keys[0]["withdrawn"] is True
+
+    with World(services=1, entries=2) as world:
+        asyncio.run(scenario(world))
