Send nothing after a pause before the VM list has been asked again

Cause: an entry that was frozen while the VM list gave an upstream notice sent the requests that had waited in its sockets to that upstream when it thawed, before its next read of the list; the agent knows of drains, but not of the list. Ruled out: the drained failure domain (agents refuse by their own configuration), a frozen agent (it holds after a pause, and drops what its lost entries wanted). Change: if the last attempt to read the list is older than interval, timeout and 0.5 s together, the process was paused; calls wait for, and lots skip turns until, the next attempt, whether or not the list answers, so an outage holds nothing up. Before: tests/test_drain.py test_a_leaving_vm_gets_nothing_new[entry] found dozens of arrivals at the leaving upstream after its 5 s.

--- a/buckthornstile/entry/_daemon.py
+++ b/buckthornstile/entry/_daemon.py
@@ -54,6 +54,7 @@
 BODY_TIMEOUT_SECONDS = 30.0
 IDLE_TIMEOUT_SECONDS = 300.0
 MAX_LOG_LAG_SHOWN = 1e9
+PAUSE_SECONDS = 0.5
 
 
 class Entry:
@@ -92,7 +93,12 @@
             self.identity.incarnation, interval=settings.usage_batch_interval
         )
         self.fleet = Fleet(
-            self, subset_size=settings.upstream_subset, on_change=self._note_upstream
+            self,
+            subset_size=settings.upstream_subset,
+            on_change=self._note_upstream,
+            maximum_list_age=settings.vm_list_interval
+            + settings.platform_timeout
+            + PAUSE_SECONDS,
         )
         self.dispatcher = Dispatcher(
             self.fleet,
@@ -285,6 +291,7 @@
                 self.fleet.on_vm_list(vms)
                 self.fleet.apply_configuration(self.configuration.current)
                 self._choose_candidates()
+            self.fleet.on_list_tried()
             await asyncio.sleep(self.settings.vm_list_interval)
 
     def _choose_candidates(self) -> None:
--- a/buckthornstile/entry/_dispatcher.py
+++ b/buckthornstile/entry/_dispatcher.py
@@ -268,6 +268,7 @@
     async def _find_link(
         self, call: Call, excluded: set[UpstreamId], deadline: Deadline
     ) -> AgentLink:
+        await self.fleet.wait_fresh()
         if call.has_home:
             return await self._find_home(call, excluded, deadline)
         request = RouteRequest(
--- a/buckthornstile/entry/_fleet.py
+++ b/buckthornstile/entry/_fleet.py
@@ -15,6 +15,7 @@
 )
 
 HOME_CANDIDATES = 2
+FRESH_POLL_SECONDS = 0.02
 
 
 class Fleet:
@@ -27,6 +28,8 @@
         owner: The entry.
         subset_size: Upstreams to connect to; 0 for all.
         on_change: Called with a sentence for each change of state.
+        maximum_list_age: Seconds after the last attempt to read the VM list
+            from which on this process must have been paused.
     """
 
     def __init__(
@@ -35,10 +38,13 @@
         *,
         subset_size: int,
         on_change: Callable[[str, UpstreamId], None],
+        maximum_list_age: float = float("inf"),
     ) -> None:
         self.owner = owner
         self.subset_size = subset_size
         self.on_change = on_change
+        self.maximum_list_age = maximum_list_age
+        self._list_tried_at = owner.read_clock()
         self.links: dict[UpstreamId, AgentLink] = {}
         self.vms: dict[UpstreamId, Vm] = {}
         self.entries: tuple[ProcessName, ...] = ()
@@ -58,6 +64,24 @@
         for upstream, link in list(self.links.items()):
             self._update_link(upstream, link)
 
+    def on_list_tried(self) -> None:
+        """Notes that the VM list was asked for, whether or not it answered."""
+        self._list_tried_at = self.owner.read_clock()
+
+    @property
+    def is_stale(self) -> bool:
+        """Whether this process was paused and has not read the VM list since.
+
+        Upstreams may have begun to leave meanwhile, so nothing is sent yet.
+        """
+        age = self.owner.read_clock() - self._list_tried_at
+        return age > self.maximum_list_age
+
+    async def wait_fresh(self) -> None:
+        """Waits, after a pause, for the next attempt to read the VM list."""
+        while self.is_stale:
+            await asyncio.sleep(FRESH_POLL_SECONDS)
+
     def _note_members(self) -> None:
         """Remembers since when each service has had the same upstreams.
 
--- a/buckthornstile/entry/_lots.py
+++ b/buckthornstile/entry/_lots.py
@@ -315,6 +315,8 @@
 
     def decide(self) -> None:
         """Lets each lot act, the one with least slack first."""
+        if self.entry.fleet.is_stale:
+            return
         now = self.entry.read_clock()
         for lot_id, opened in list(self.open.items()):
             if self._is_forgotten(opened, now):
