End a request that is cancelled before its first step

Cause: a dispatch and its cancel that an agent read in one turn started a task and cancelled it before its first step. Such a task never runs, nor its finally clause: the request stayed in the running set, the guard's table and the usage ledger for good and nobody got an end. Each one took a place of the concurrency limit; after as many as the limit (9 of 9 seen in the heartbeat) the upstream got no more work. Ruled out: the exchange with the upstream (no connection was open), the limit's fall (it stood at 9), the entry (its in-flight count was right). Change: the task notes that it has begun; a cancel before that is left to the task, which ends the request with the same code.

--- a/buckthornstile/agent/_requests.py
+++ b/buckthornstile/agent/_requests.py
@@ -20,6 +20,7 @@
         arrived_at: The clock reading at its arrival, in seconds.
         deadline: The clock reading after which nobody wants the answer.
         task: The upstream call, once it runs.
+        begun: Whether the task has taken its first step.
         stop_error: Why the call was cancelled, if it was.
         cancelled_by_caller: Whether the entry itself gave it up.
     """
@@ -29,6 +30,7 @@
     arrived_at: float
     deadline: float
     task: asyncio.Task[None] | None = None
+    begun: bool = False
     stop_error: BuckthornstileError | None = None
     cancelled_by_caller: bool = False
     tokens_sent: int = field(default=0)
--- a/buckthornstile/agent/_scheduler.py
+++ b/buckthornstile/agent/_scheduler.py
@@ -207,7 +207,10 @@
     async def _run(self, request: AgentRequest) -> None:
         request_id = request.dispatch.request_id
         started_at = self.read_clock()
+        request.begun = True
         try:
+            if request.stop_error is not None:
+                raise request.stop_error
             result = await self.caller.call(request, started_at)
         except BuckthornstileError as error:
             self._fail(request, error)
@@ -318,7 +321,10 @@
         if request.task is not None and request.stop_error is None:
             error.verdict = Verdict.MAY_HAVE_RUN
             request.stop_error = error
-            request.task.cancel()
+            # A task that is cancelled before its first step never runs at all,
+            # and would leave the request open for good; it looks for itself.
+            if request.begun:
+                request.task.cancel()
 
     def on_connection_lost(self, connection: Connection) -> None:
         """Drops what only the lost entry wanted; the rest runs to its end."""
