--- a/tests/support.py
+++ b/tests/support.py
@@ -214,13 +214,19 @@
         return CallerClient(urls, key or self.key, policy=policy)
 
     async def order(
-        self, caller: CallerClient, *, timeout: float = 30.0, padding: int = 0
+        self,
+        caller: CallerClient,
+        *,
+        timeout: float = 30.0,
+        padding: int = 0,
+        account: str = "mill",
+        path: str = "/orders",
     ) -> CallSeen:
         """Sends an order, which must not run twice."""
         name = f"order-{next(self.names)}"
         body = json.dumps({"name": name, "padding": "x" * padding}).encode()
-        seen = CallSeen("mill", "order", name, body)
-        return await self._see(seen, caller.call("/orders", body, timeout=timeout))
+        seen = CallSeen(account, "order", name, body)
+        return await self._see(seen, caller.call(path, body, timeout=timeout))
 
     async def look_up(self, caller: CallerClient, *, timeout: float = 30.0) -> CallSeen:
         """Sends a lookup, which may run twice."""
@@ -343,6 +349,13 @@
         maximum_age=2,
     )
     yield Rule(name="orders", path="/orders", service=DESK, idempotent=False)
+    yield Rule(
+        name="private",
+        path="/private",
+        account="mill",
+        service=DESK,
+        idempotent=False,
+    )
     yield Rule(name="lookup", path="/lookup", service=DESK, idempotent=True)
 
 
--- a/tests/test_kills.py
+++ b/tests/test_kills.py
@@ -4,7 +4,12 @@
 
 import pytest
 
-from tests.checker import check_usage_exact, count_reported, count_runs
+from tests.checker import (
+    check_usage_exact,
+    count_received,
+    count_reported,
+    count_runs,
+)
 from tests.support import World, make_lot
 
 SLOW_SERVICE = {"delay_seconds": 0.2}
@@ -12,27 +17,39 @@
 LONG_TOKENS = 3000
 
 
-def test_no_fault_bills_exactly_what_was_received():
+def test_no_fault_bills_each_account_exactly_what_it_received():
     async def scenario(world):
-        caller = world.make_caller()
+        caller, other = world.make_caller(), world.make_caller(key=world.other_key)
         calls = [world.order(caller) for _ in range(20)]
         calls += [world.complete(caller) for _ in range(20)]
         calls += [world.complete(caller, stream=True) for _ in range(10)]
+        calls += [world.order(other, account="ledger") for _ in range(7)]
         seen = await asyncio.gather(*calls)
-        await wait_billed(world, len(seen))
-        # Whatever was billed twice would show beside one more call.
-        seen.append(await world.order(caller))
-        await wait_billed(world, len(seen))
+        await wait_billed(world)
+        # Whatever was billed twice would show beside one more call of each.
+        seen.append(await world.order(caller, path="/private"))
+        seen.append(await world.order(other, account="ledger"))
         assert {call.status for call in seen} == {200}
+        refused = await world.order(other, account="ledger", path="/private")
+        assert (refused.code, refused.verdict) == ("request.route_unknown", "not_run")
+        await wait_billed(world)
         check_usage_exact(world.check())
 
     with World(engines=2, services=2) as world:
+        world.other_key, items = world.make_account("ledger")
+        world.evidence.keys.append(world.other_key)
+        world.change(*items)
+        world.wait_ready()
         asyncio.run(scenario(world))
 
 
-async def wait_billed(world, count):
+async def wait_billed(world):
     await world.until(
-        lambda: count_reported(world.collect())["mill"] >= count, "usage is reported"
+        lambda: (
+            count_reported(world.collect()).total()
+            >= count_received(world.evidence).total()
+        ),
+        "usage is reported",
     )
 
 
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -11,6 +11,7 @@
 key,mill-key,mill,,,,,
 rule,completions,*,/v1/completions,geometry-models,yes,2,
 rule,orders,*,/orders,shop-desk,no,,
+rule,private,mill,/private,shop-desk,no,,
 rule,lookup,*,/lookup,shop-desk,yes,,
 """
 
