--- a/buckthornstile/entry/_fleet.py
+++ b/buckthornstile/entry/_fleet.py
@@ -23,6 +23,7 @@
 HOME_CANDIDATES = 2
 FORGET_SECONDS = 30.0
 """Seconds for which a VM that the list has dropped is dialled again."""
+FRESH_POLL_SECONDS = 0.02
 
 
 class Fleet:
@@ -35,6 +36,8 @@
         owner: The entry.
         subset_size: Upstreams to connect to; 0 for all.
         on_change: Called with a sentence for each change of state.
+        maximum_list_age: Seconds after the last attempt to read the VM list
+            from which on this process must have been paused.
     """
 
     def __init__(
@@ -43,10 +46,13 @@
         *,
         subset_size: int,
         on_change: Callable[[str, UpstreamId], None],
+        maximum_list_age: float = float("inf"),
     ) -> None:
         self.owner = owner
         self.subset_size = subset_size
         self.on_change = on_change
+        self.maximum_list_age = maximum_list_age
+        self._list_tried_at = owner.read_clock()
         self.links: dict[UpstreamId, AgentLink] = {}
         self.vms: dict[UpstreamId, Vm] = {}
         self.entries: tuple[ProcessName, ...] = ()
@@ -78,8 +84,32 @@
         self._note_members()
         self._wanted = self._choose_wanted()
 
+    def on_list_tried(self) -> None:
+        """Notes that the VM list was asked for, whether or not it answered."""
+        self._list_tried_at = self.owner.read_clock()
+
+    @property
+    def is_stale(self) -> bool:
+        """Whether this process was paused and has not read the VM list since.
+
+        Upstreams may have begun to leave meanwhile, so nothing is sent yet.
+        """
+        age = self.owner.read_clock() - self._list_tried_at
+        return age > self.maximum_list_age
+
+    async def wait_fresh(self) -> None:
+        """Waits, after a pause, for the next attempt to read the VM list."""
+        while self.is_stale:
+            await asyncio.sleep(FRESH_POLL_SECONDS)
+
     def _note_members(self) -> None:
-        """Remembers since when each service has had the same upstreams."""
+        """Remembers since when each service has had the same upstreams.
+
+        A list without any agent is no news of them: the former members stay the
+        homes of calls, but cannot be proved to be those of other entries.
+        """
+        if not self.vms:
+            return
         now = self.owner.read_clock()
         members: dict[ServiceName, set[UpstreamId]] = {}
         for vm in self.vms.values():
@@ -177,9 +207,14 @@
         return ranked[:HOME_CANDIDATES]
 
     def get_stable_seconds(self, service: ServiceName) -> float:
-        """Gives the seconds since the service's upstreams last changed."""
+        """Gives the seconds since the service's upstreams last changed.
+
+        While the VM list is empty they are not known to be stable at all.
+        """
         since = self._members_since.get(service)
-        return 0.0 if since is None else self.owner.read_clock() - since
+        if since is None or not self.vms:
+            return 0.0
+        return self.owner.read_clock() - since
 
     def broadcast_heartbeat(self) -> None:
         """Sends a heartbeat to every connected agent, and drops silent ones."""
