Break off a stream without a traceback

Cause: closing an exchange cancelled the task that reads it; if a chunk was waiting for room in the buffer, tornado logged the cancellation as an uncaught exception in the caller's process. Seen in the demo when the trainer advanced with 40 samples on their way. Ruled out: a larger buffer, which only makes it rarer; silencing tornado's log, which is the caller's own. Change: closing drops what is buffered and closes the stream, which ends the reading task. The new test fails on the old code with one log record.

--- a/buckthornstile/client/_exchange.py
+++ b/buckthornstile/client/_exchange.py
@@ -48,6 +48,7 @@
         self.head = loop.create_future()
         self.chunks: asyncio.Queue[bytes] = asyncio.Queue(_BUFFERED_CHUNKS)
         self.finished = False
+        self.closed = False
 
     def headers_received(
         self,
@@ -60,7 +61,13 @@
         return None
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
-        return self.chunks.put(chunk)
+        return None if self.closed else self.chunks.put(chunk)
+
+    def close(self) -> None:
+        """Drops what nobody will read, so that no chunk waits for room."""
+        self.closed = True
+        while not self.chunks.empty():
+            self.chunks.get_nowait()
 
     def finish(self) -> None:
         self.finished = True
@@ -103,7 +110,9 @@
 
     def close(self) -> None:
         """Closes the connection, whatever is still on its way."""
-        self._task.cancel()
+        # A cancelled read would have tornado print a traceback; a closed stream
+        # ends it as well.
+        self._receiver.close()
         if self._connection.stream is not None:
             self._connection.stream.close()
 
--- a/buckthornstile/client/tests/test_answers.py
+++ b/buckthornstile/client/tests/test_answers.py
@@ -142,3 +142,20 @@
     names = ['refuses with "may have run"', "refuses the key"]
     seen = call(names, "an idempotent")
     assert seen[0] == ([], "key.withdrawn and may_have_run")
+
+
+def test_breaking_off_a_stream_logs_no_traceback(caplog):
+    event = b"data: " + b"x" * 60_000 + b"\n\n"
+    answer = fakes.make_stream(*[event] * 100)
+
+    async def go():
+        async with fakes.FakeEntry(lambda *_: answer) as entry:
+            client = CallerClient([entry.url], "key")
+            async with contextlib.aclosing(client.stream("/v1/completions")) as events:
+                async for _ in events:
+                    await asyncio.sleep(0.05)  # The buffer fills meanwhile.
+                    break
+            await asyncio.sleep(0)
+
+    asyncio.run(go())
+    assert not caplog.records
