Stop a deployment's daemons before its platform

Cause: stand-ins and daemons were asked to stop together, so that entries waited their whole stop_timeout for a log that was gone, and were then killed.

--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -60,8 +60,22 @@
         return self
 
     def __exit__(self, *exception: object) -> None:
+        if exception == (None, None, None):
+            self.stop_daemons()
         self.bench.__exit__(*exception)
 
+    def stop_daemons(self) -> list[int]:
+        """Stops the daemons while the platform still takes their last records.
+
+        Returns:
+            The exit status of each that was running.
+        """
+        daemons = [*self.entries.values(), *self.agents.values()]
+        running = [daemon for daemon in daemons if daemon.is_running]
+        for daemon in running:
+            daemon.ask_to_stop()
+        return [daemon.stop() for daemon in running]
+
     def take_address(self) -> str:
         """Gives the next loopback address."""
         self._addresses += 1
