--- a/examples/demo.py
+++ b/examples/demo.py
@@ -33,6 +33,7 @@
 )
 from examples._report import Report
 from standins.deployment import Deployment
+from standins.launch import BenchProcess
 
 SHEET = Path(__file__).with_name("sheet.csv")
 DOMAINS = ("bench-a", "bench-b")
@@ -40,11 +41,13 @@
 SAMPLE_TOKENS = 120
 MAXIMUM_AGE = 0
 SWAP_AFTER_SAMPLES = 16
+WAIT_AFTER_SAMPLES = 56
 OLD_VERSION, NEW_VERSION = 1, 2
 TOKEN_SECONDS = 0.005
 CALLER_PAUSE = 0.02  # seconds
 PROBE_PAUSE = 0.02  # seconds
 PROBES_AFTER = 10
+SWAP_POLL = 0.1  # seconds
 LOT_TIMEOUT = 40.0  # seconds
 STEP_TIMEOUT = 20.0  # seconds
 STOP_TIMEOUT = 8.0  # seconds
@@ -146,8 +149,11 @@
                 tally.add(sample, version)
                 if swap is None and len(tally.samples) >= SWAP_AFTER_SAMPLES:
                     swap = asyncio.create_task(self.swap_weights())
-                if swap is not None and swap.done() and version == OLD_VERSION:
-                    swap.result()
+                if swap is None or version == NEW_VERSION:
+                    continue
+                # The last samples are for the new version, however slow the swap.
+                if swap.done() or len(tally.samples) >= WAIT_AFTER_SAMPLES:
+                    await swap
                     version = NEW_VERSION
                     await trainer.set_version(version)
                     self.report.say(f"the trainer is at version {version}")
@@ -161,11 +167,7 @@
         report = self.report
         deliveries = tally.count_slots()
         repeated = sum(deliveries.values()) - len(deliveries)
-        journals = [
-            process.read_journal("completion")
-            for name, process in self.deployment.upstreams.items()
-            if name.startswith("model-")
-        ]
+        journals = [e.read_journal("completion") for e in self._list_engines()]
         report.note("samples_wanted", lot.slot_count)
         report.check("samples_delivered", len(deliveries), lot.slot_count)
         report.check("samples_doubled", repeated + trainer.duplicate_count, 0)
@@ -183,15 +185,19 @@
         await asyncio.to_thread(platform.call, "POST", "/weights", fields)
         self.report.say(f"version {NEW_VERSION} is published")
         started = time.monotonic()
-        for name, process in self.deployment.upstreams.items():
-            if name.startswith("model-"):
-                await self._swap_engine(process)
+        async with asyncio.timeout(STEP_TIMEOUT):
+            while await asyncio.to_thread(self._count_old_engines):
+                await asyncio.sleep(SWAP_POLL)
         self.report.note("swap_s", round(time.monotonic() - started, 3))
-        self.report.say("every engine has loaded it")
+        self.report.say("every engine has loaded it, as the lease's holder ordered")
+
+    def _count_old_engines(self) -> int:
+        states = [engine.call("GET", "/v1/state") for engine in self._list_engines()]
+        return sum(state["version"] != NEW_VERSION for state in states)
 
-    async def _swap_engine(self, engine: Any) -> None:
-        order = {"version": NEW_VERSION, "term": 0}
-        await asyncio.to_thread(engine.call, "POST", "/v1/orders/load_version", order)
+    def _list_engines(self) -> list[BenchProcess]:
+        upstreams = self.deployment.upstreams
+        return [p for name, p in upstreams.items() if name.startswith("model-")]
 
     async def withdraw_key(self) -> None:
         """Withdraws a key, and measures when the last entry refuses it."""
@@ -256,11 +262,7 @@
 
     def stop_daemons(self) -> None:
         """Stops entries and agents while the platform still stands."""
-        daemons = [*self.deployment.entries.values(), *self.deployment.agents.values()]
-        running = [daemon for daemon in daemons if daemon.is_running]
-        for daemon in running:
-            daemon.ask_to_stop()
-        statuses = [daemon.stop(timeout=STEP_TIMEOUT) for daemon in running]
+        statuses = self.deployment.stop_daemons()
         self.report.check("bad_exits", sum(status != 0 for status in statuses), 0)
 
     async def _command(self, *words: str) -> dict[str, Any]:
--- /dev/null
+++ b/examples/tests/test_examples.py
@@ -0,0 +1,66 @@
+"""Every example runs against a deployment of separate processes."""
+
+import asyncio
+
+import pytest
+
+from buckthornstile import CallerClient, TrainerClient
+from examples import caller, demo, morning_sheet, trainer_loop
+from standins.deployment import Deployment
+
+
+@pytest.fixture(scope="module")
+def deployment():
+    with Deployment() as started:
+        started.add_engine("model-1", "bench-a", "geometry-models")
+        started.add_service("desk-1", "bench-a", "shop-desk")
+        started.add_entry("entry-1", "bench-a")
+        yield started
+
+
+@pytest.fixture(scope="module")
+def keys(deployment):
+    urls = ",".join(deployment.entry_urls)
+    sheet = str(demo.SHEET)
+    return morning_sheet.apply_morning_sheet(sheet, deployment.platform.url, urls)
+
+
+def test_a_sheet_is_applied_once(deployment, keys):
+    assert set(keys) == {"mill-7-clerks", "geometry-trainers"}
+    urls = ",".join(deployment.entry_urls)
+    sheet = str(demo.SHEET)
+    again = morning_sheet.apply_morning_sheet(sheet, deployment.platform.url, urls)
+    assert again == {}
+    assert deployment.read_status("entry-1")["configuration"]["revision"] == 1
+
+
+def test_a_caller_gets_its_answers(deployment, keys):
+    client = CallerClient(deployment.entry_urls, keys["mill-7-clerks"])
+
+    async def run():
+        return [
+            await caller.place_order(client, "blade-7"),
+            await caller.place_order(client, "blade-7"),
+            await caller.look_up(client, "blade-7"),
+            await caller.complete(client, "how to set a ripping blade"),
+        ]
+
+    first, second, found, text = asyncio.run(run())
+    assert first == second == "order blade-7 was placed, status 200"
+    assert found.endswith("status 200")
+    assert len(text.split()) == 8
+    runs = deployment.upstreams["desk-1"].read_journal("run")
+    assert [entry["uri"] for entry in runs].count("/v1/orders") == 1
+
+
+def test_a_caller_is_told_that_an_order_was_not_placed(deployment, keys):
+    client = CallerClient(deployment.entry_urls, "wrong")
+    said = asyncio.run(caller.place_order(client, "blade-8"))
+    assert said == "order blade-8 was not placed (key.unknown); send it again"
+
+
+def test_a_trainer_gets_every_lot(deployment, keys):
+    key = keys["geometry-trainers"]
+    trainer = TrainerClient(deployment.entry_urls, key, "geometry")
+    counts = asyncio.run(trainer_loop.run_steps(trainer, version=1))
+    assert counts == [8, 8, 8]
