--- a/buckthornstile/client/tests/test_answers.py
+++ b/buckthornstile/client/tests/test_answers.py
@@ -155,7 +155,7 @@
                 async for _ in events:
                     await asyncio.sleep(0.05)  # The buffer fills meanwhile.
                     break
-            await asyncio.sleep(0)
+            await asyncio.sleep(0.05)  # The connection closes meanwhile.
 
     asyncio.run(go())
     assert not caplog.records
