Explain only what concerns the subject that was asked for

Cause: the command sent ?subject=… and the entry answered with everything. Change: changes whose subject or code matches, and refusals of that code or of codes under it. The usage lines of commands show which flags take a value. Ruled out: filtering in the command; scripts that read /v1/explain need it too. Before: the new test gets every change; after: only configuration.in_force (pytest examples buckthornstile/entry buckthornstile/commands: 72 passed).

--- a/buckthornstile/commands/_main.py
+++ b/buckthornstile/commands/_main.py
@@ -164,7 +164,9 @@
         if parameter.kind is parameter.VAR_KEYWORD:
             words.append("[--SETTING=VALUE ...]")
         elif parameter.kind is parameter.KEYWORD_ONLY:
-            words.append(f"[--{parameter.name}]")
+            flag = f"--{parameter.name}"
+            value = "" if flag in BOOLEAN_FLAGS else "=VALUE"
+            words.append(f"[{flag}{value}]")
         elif parameter.default is parameter.empty:
             words.append(parameter.name.upper())
         else:
--- a/buckthornstile/commands/_views.py
+++ b/buckthornstile/commands/_views.py
@@ -29,7 +29,8 @@
     """Shows the decisions of each entry given in ``--entries``, and why.
 
     Args:
-        subject: A process, failure domain, upstream, lot or code; all if left out.
+        subject: A process, upstream, lot or code, or a code's first part, such as
+            ``load``; all if left out.
         json: Print one JSON object.
         **flags: Settings: entries.
     """
--- a/buckthornstile/entry/_handlers.py
+++ b/buckthornstile/entry/_handlers.py
@@ -15,6 +15,7 @@
     parse_call,
 )
 from buckthornstile.entry._lots import LotStream
+from buckthornstile.entry._status import filter_explanation
 from buckthornstile.entry._writers import StreamWriter, WholeWriter, write_error
 from buckthornstile.metrics import CounterName, Measure
 
@@ -217,8 +218,12 @@
     """Shows operators what was decided lately, and why."""
 
     def get(self) -> None:
-        """Answers with the last changes of state and refusals by code."""
-        self.finish(self.entry.make_explanation())
+        """Answers with the last changes and refusals, all or of ``subject``."""
+        explanation = self.entry.make_explanation()
+        subject = self.get_query_argument("subject", "")
+        if subject:
+            explanation = filter_explanation(explanation, subject)
+        self.finish(explanation)
 
 
 class TrainerVersionHandler(BodyHandler):
--- a/buckthornstile/entry/_status.py
+++ b/buckthornstile/entry/_status.py
@@ -108,6 +108,43 @@
     }
 
 
+def filter_explanation(
+    explanation: dict[str, object], subject: str
+) -> dict[str, object]:
+    """Keeps the changes and refusals that concern a subject.
+
+    Args:
+        explanation: What :func:`make_explanation` made.
+        subject: A process, upstream, lot or code, or the beginning of a code.
+
+    Returns:
+        The process, and its changes and errors that match.
+
+    Example:
+        >>> changes = [{"code": "agent.lost", "subject": "m1"}]
+        >>> found = {"process": "e1", "changes": changes, "errors": {"load.x": 2}}
+        >>> filter_explanation(found, "load")
+        {'process': 'e1', 'changes': [], 'errors': {'load.x': 2}}
+    """
+    changes = explanation["changes"]
+    errors = explanation["errors"]
+    assert isinstance(changes, list)
+    assert isinstance(errors, dict)
+    return {
+        "process": explanation["process"],
+        "changes": [
+            change
+            for change in changes
+            if change["subject"] == subject or _is_code(change["code"], subject)
+        ],
+        "errors": {code: n for code, n in errors.items() if _is_code(code, subject)},
+    }
+
+
+def _is_code(code: str, subject: str) -> bool:
+    return code == subject or code.startswith(f"{subject}.")
+
+
 def render_entry_metrics(entry: "Entry") -> str:
     """Renders the entry's metrics for a scraper.
 
--- a/examples/tests/test_examples.py
+++ b/examples/tests/test_examples.py
@@ -64,3 +64,14 @@
     trainer = TrainerClient(deployment.entry_urls, key, "geometry")
     counts = asyncio.run(trainer_loop.run_steps(trainer, version=1))
     assert counts == [8, 8, 8]
+
+
+def test_an_operator_sees_what_concerns_a_subject(deployment, keys):
+    url = deployment.entry_urls[0]
+    status, answer = morning_sheet.run("explain", "configuration", f"--entries={url}")
+    assert status == 0
+    found = answer["entries"][url]
+    assert {c["code"] for c in found["changes"]} == {"configuration.in_force"}
+    assert found["errors"] == {}
+    _, whole = morning_sheet.run("explain", f"--entries={url}")
+    assert len(whole["entries"][url]["changes"]) > len(found["changes"])
