--- a/buckthornstile/entry/_changes.py
+++ b/buckthornstile/entry/_changes.py
@@ -54,6 +54,32 @@
         self._changes.append(Change(self.read_wall(), code, message, subject))
         log_change(code, message, subject=subject)
 
-    def list_changes(self) -> list[dict[str, object]]:
-        """Lists the kept changes, oldest first, ready for JSON."""
-        return [asdict(change) for change in self._changes]
+    def list_changes(self, subject: str = "") -> list[dict[str, object]]:
+        """Lists the kept changes, oldest first, ready for JSON.
+
+        Args:
+            subject: What they concern, or their code or its first part; empty
+                for all.
+
+        Returns:
+            The changes.
+        """
+        return [
+            asdict(change)
+            for change in self._changes
+            if subject in ("", change.subject) or is_code_of(change.code, subject)
+        ]
+
+
+def is_code_of(code: str, subject: str) -> bool:
+    """Tells whether a code is the subject, or begins with it as its first part.
+
+    Args:
+        code: The code.
+        subject: A code or its first part.
+
+    Example:
+        >>> is_code_of("load.queue_full", "load"), is_code_of("load.x", "lo")
+        (True, False)
+    """
+    return code == subject or code.startswith(f"{subject}.")
--- a/buckthornstile/entry/_handlers.py
+++ b/buckthornstile/entry/_handlers.py
@@ -15,7 +15,6 @@
     parse_call,
 )
 from buckthornstile.entry._lots import LotStream
-from buckthornstile.entry._status import filter_explanation
 from buckthornstile.entry._writers import StreamWriter, WholeWriter, write_error
 from buckthornstile.metrics import CounterName, Measure
 
@@ -30,15 +29,20 @@
         entry: The entry.
     """
 
-    entry: "Entry"
+    entry: "Entry" = None  # type: ignore[assignment]
 
     def initialize(self, entry: "Entry") -> None:
         """Stores the entry; tornado calls this."""
         self.entry = entry
+        self.set_default_headers()
 
     def set_default_headers(self) -> None:
-        """Leaves out the server's name; tornado calls this."""
+        """Sets what every answer carries; tornado calls this."""
         self.clear_header("Server")
+        # Tornado calls this once before the handler knows its entry.
+        if self.entry is not None and self.entry.stopping:
+            # A caller on a kept connection must come again through another entry.
+            self.set_header("Connection", "close")
 
     def write_error(self, status_code: int, **kwargs: object) -> None:
         """Answers an unforeseen error with a code; tornado calls this."""
@@ -133,13 +137,13 @@
             return
         started_at = entry.read_clock()
         try:
-            await self._run(call)
+            await self._run(call, started_at)
         except asyncio.CancelledError:
             entry.counters.increment(CounterName("callers_gone"))
         finally:
             self._task = None
             entry.release(call)
-            entry.record_total(call, entry.read_clock() - started_at)
+            entry.record(Measure.TOTAL, call, entry.read_clock() - started_at)
 
     get = post = put = delete = patch = head = options = _serve  # type: ignore[assignment]
 
@@ -160,17 +164,26 @@
         call = authenticate_call(call, authorization, configuration)
         return classify_call(call, configuration)
 
-    async def _run(self, call: Call) -> None:
-        writer = StreamWriter(self) if call.stream else WholeWriter(self)
+    async def _run(self, call: Call, started_at: float) -> None:
+        entry = self.entry
+        writer: StreamWriter | WholeWriter = WholeWriter(self)
+        if call.stream:
+            writer = StreamWriter(
+                self,
+                on_first=lambda: entry.record(
+                    Measure.FIRST_TOKEN, call, entry.read_clock() - started_at
+                ),
+            )
         try:
-            end = await self.entry.dispatcher.run_call(call, writer)
+            end = await entry.dispatcher.run_call(call, writer)
         except BuckthornstileError as error:
-            self.entry.count_error(error)
+            entry.count_error(error)
             if isinstance(writer, StreamWriter) and writer.has_begun:
                 writer.fail(error)
             else:
                 write_error(self, error)
             return
+        entry.record(Measure.QUEUE_WAIT, call, end.queue_wait)
         writer.finish(end)
 
     def on_connection_close(self) -> None:
@@ -218,12 +231,9 @@
     """Shows operators what was decided lately, and why."""
 
     def get(self) -> None:
-        """Answers with the last changes and refusals, all or of ``subject``."""
-        explanation = self.entry.make_explanation()
+        """Answers with the last changes of state and refusals by code."""
         subject = self.get_query_argument("subject", "")
-        if subject:
-            explanation = filter_explanation(explanation, subject)
-        self.finish(explanation)
+        self.finish(self.entry.make_explanation(subject))
 
 
 class TrainerVersionHandler(BodyHandler):
--- a/buckthornstile/entry/_status.py
+++ b/buckthornstile/entry/_status.py
@@ -1,8 +1,10 @@
 """What an entry tells operators of itself."""
 
+from collections import Counter
 from dataclasses import asdict
 from typing import TYPE_CHECKING
 
+from buckthornstile.entry._changes import is_code_of
 from buckthornstile.entry._links import AgentLink
 from buckthornstile.entry._lots import OpenLot
 from buckthornstile.metrics import GaugeName, Gauges, render_metrics
@@ -88,63 +90,35 @@
     }
 
 
-def make_explanation(entry: "Entry") -> dict[str, object]:
+def make_explanation(entry: "Entry", subject: str = "") -> dict[str, object]:
     """Makes what ``buckthornstile explain`` shows: changes, and refusals by code.
 
     Args:
         entry: The entry.
+        subject: What the changes concern, or a code or its first part; empty for
+            all.
 
     Returns:
         A JSON object.
     """
-    errors = entry.counters.items().get("errors", {})
+    # One code may come with several verdicts, each of which has its own count.
+    errors: Counter[str] = Counter()
+    for labels, count in entry.counters.items().get("errors", {}).items():
+        errors[dict(labels).get("code", "")] += int(count)
     return {
         "process": entry.identity.process,
-        "changes": entry.changes.list_changes(),
-        "errors": {dict(labels).get("code", ""): n for labels, n in errors.items()},
+        "changes": entry.changes.list_changes(subject),
+        "errors": {
+            code: count
+            for code, count in errors.items()
+            if not subject or is_code_of(code, subject)
+        },
         "dispatcher": asdict(entry.dispatcher.counters),
         "control": dict(entry.control.counters),
         "runner": dict(entry.runner.counters),
     }
 
 
-def filter_explanation(
-    explanation: dict[str, object], subject: str
-) -> dict[str, object]:
-    """Keeps the changes and refusals that concern a subject.
-
-    Args:
-        explanation: What :func:`make_explanation` made.
-        subject: A process, upstream, lot or code, or the beginning of a code.
-
-    Returns:
-        The process, and its changes and errors that match.
-
-    Example:
-        >>> changes = [{"code": "agent.lost", "subject": "m1"}]
-        >>> found = {"process": "e1", "changes": changes, "errors": {"load.x": 2}}
-        >>> filter_explanation(found, "load")
-        {'process': 'e1', 'changes': [], 'errors': {'load.x': 2}}
-    """
-    changes = explanation["changes"]
-    errors = explanation["errors"]
-    assert isinstance(changes, list)
-    assert isinstance(errors, dict)
-    return {
-        "process": explanation["process"],
-        "changes": [
-            change
-            for change in changes
-            if change["subject"] == subject or _is_code(change["code"], subject)
-        ],
-        "errors": {code: n for code, n in errors.items() if _is_code(code, subject)},
-    }
-
-
-def _is_code(code: str, subject: str) -> bool:
-    return code == subject or code.startswith(f"{subject}.")
-
-
 def render_entry_metrics(entry: "Entry") -> str:
     """Renders the entry's metrics for a scraper.
 
