--- a/buckthornstile/entry/_changes.py
+++ b/buckthornstile/entry/_changes.py
@@ -58,7 +58,8 @@
         """Lists the kept changes, oldest first, ready for JSON.
 
         Args:
-            subject: What they concern; empty for all.
+            subject: What they concern, or their code or its first part; empty
+                for all.
 
         Returns:
             The changes.
@@ -66,5 +67,19 @@
         return [
             asdict(change)
             for change in self._changes
-            if subject in ("", change.subject)
+            if subject in ("", change.subject) or is_code_of(change.code, subject)
         ]
+
+
+def is_code_of(code: str, subject: str) -> bool:
+    """Tells whether a code is the subject, or begins with it as its first part.
+
+    Args:
+        code: The code.
+        subject: A code or its first part.
+
+    Example:
+        >>> is_code_of("load.queue_full", "load"), is_code_of("load.x", "lo")
+        (True, False)
+    """
+    return code == subject or code.startswith(f"{subject}.")
--- a/buckthornstile/entry/_status.py
+++ b/buckthornstile/entry/_status.py
@@ -1,8 +1,10 @@
 """What an entry tells operators of itself."""
 
+from collections import Counter
 from dataclasses import asdict
 from typing import TYPE_CHECKING
 
+from buckthornstile.entry._changes import is_code_of
 from buckthornstile.entry._links import AgentLink
 from buckthornstile.entry._lots import OpenLot
 from buckthornstile.metrics import GaugeName, Gauges, render_metrics
@@ -93,16 +95,24 @@
 
     Args:
         entry: The entry.
-        subject: What the changes concern; empty for all.
+        subject: What the changes concern, or a code or its first part; empty for
+            all.
 
     Returns:
         A JSON object.
     """
-    errors = entry.counters.items().get("errors", {})
+    # One code may come with several verdicts, each of which has its own count.
+    errors: Counter[str] = Counter()
+    for labels, count in entry.counters.items().get("errors", {}).items():
+        errors[dict(labels).get("code", "")] += int(count)
     return {
         "process": entry.identity.process,
         "changes": entry.changes.list_changes(subject),
-        "errors": {dict(labels).get("code", ""): n for labels, n in errors.items()},
+        "errors": {
+            code: count
+            for code, count in errors.items()
+            if not subject or is_code_of(code, subject)
+        },
         "dispatcher": asdict(entry.dispatcher.counters),
         "control": dict(entry.control.counters),
         "runner": dict(entry.runner.counters),
