Steer the agent's limit by first tokens and the streams' progress

Cause: the policy's figures need the time to the first token and the speed of running streams; whole answers show neither, so the limit was fed the time per token of ended answers, and heartbeats did not tell background work apart. Ruled out: reporting the tokens of ended answers once a second; a long answer's tokens would all count in the second in which it ends, and the limit keeps the greatest speed of a minute. Change: the agent asks its engine for a stream also where the caller or a lot wants a whole answer, and makes the whole answer from the events; it reports progress once a second, and queue and background work in heartbeats.

--- a/buckthornstile/agent/_calls.py
+++ b/buckthornstile/agent/_calls.py
@@ -1,12 +1,16 @@
 """Makes one upstream call and judges its answer."""
 
 import contextlib
+import dataclasses
+from collections.abc import Callable
 from dataclasses import dataclass
 
+from buckthornstile.agent._completions import EVENT_STREAM, JSON, ask_for_stream
 from buckthornstile.agent._engine_monitor import EngineMonitor
 from buckthornstile.agent._relay import ChunkRelay, FlushTimer
 from buckthornstile.agent._requests import AgentRequest
 from buckthornstile.base import BuckthornstileError, ErrorCode, RequestClass, Verdict
+from buckthornstile.clock import read_boottime
 from buckthornstile.guard import KeptAnswer
 from buckthornstile.ports import (
     AnswerEnd,
@@ -68,6 +72,7 @@
         monitor: The engine's monitor, or None beside a plain service.
         timer: Flushes streams.
         max_answer_bytes: The longest answer that is collected.
+        read_clock: Gives the time, in seconds.
     """
 
     def __init__(
@@ -77,11 +82,13 @@
         monitor: EngineMonitor | None,
         timer: FlushTimer,
         max_answer_bytes: int,
+        read_clock: Callable[[], float] = read_boottime,
     ) -> None:
         self.upstream = upstream
         self.monitor = monitor
         self.timer = timer
         self.max_answer_bytes = max_answer_bytes
+        self.read_clock = read_clock
 
     async def call(self, request: AgentRequest, now: float) -> CallResult:
         """Makes the call.
@@ -109,14 +116,20 @@
                 verdict=Verdict.MAY_HAVE_RUN,
             )
         labels: tuple[TokenRange, ...] = ()
+        content_type = head.content_type
         if tracker is not None and head.status == HTTP_OK:
-            labels = await self._finish_labels(request, tracker, body)
+            if not _is_stream(head):
+                tracker.feed_whole(body)
+            elif not request.dispatch.stream:
+                body = tracker.make_whole_body()
+                content_type = JSON
+            labels = await self._finish_labels(request, tracker)
         if relay is not None:
             relay.flush()
         usage = None if tracker is None else tracker.usage
         answer = KeptAnswer(
             head.status,
-            head.content_type,
+            content_type,
             body,
             labels,
             0 if usage is None else usage.prompt_tokens,
@@ -144,7 +157,8 @@
     ) -> tuple[AnswerHead, bytes]:
         head: AnswerHead | None = None
         body = bytearray()
-        call = make_upstream_call(request, now)
+        received = 0
+        call = self._make_call(request, now)
         # An open generator would keep the upstream's connection.
         async with contextlib.aclosing(self.upstream.call(call)) as events:  # type: ignore[type-var]
             async for event in events:
@@ -155,30 +169,42 @@
                 elif isinstance(event, AnswerEnd):
                     break
                 else:
-                    body += event.data
-                    self._check_length(body)
-                    self._follow(request, head, tracker, event.data)
+                    assert head is not None
+                    received += len(event.data)
+                    self._check_length(received)
+                    followed = tracker is not None and _is_stream(head)
+                    if followed:
+                        self._follow(request, tracker, event.data)
+                    if relay is not None or not followed:
+                        body += event.data
                     if relay is not None:
                         await relay.add(event.data)
         assert head is not None
         return head, bytes(body)
 
+    def _make_call(self, request: AgentRequest, now: float) -> UpstreamCall:
+        """Makes the call; an engine is asked for a stream where it can be."""
+        call = make_upstream_call(request, now)
+        if self.monitor is None or call.stream:
+            return call
+        body = ask_for_stream(call.body)
+        if body is None:
+            return call
+        return dataclasses.replace(call, body=body, stream=True)
+
     def _follow(
-        self,
-        request: AgentRequest,
-        head: AnswerHead | None,
-        tracker: LabelTracker | None,
-        data: bytes,
+        self, request: AgentRequest, tracker: LabelTracker | None, data: bytes
     ) -> None:
-        streams = request.dispatch.stream and head is not None
-        if tracker is not None and streams and head.status == HTTP_OK:  # type: ignore[union-attr]
-            tracker.feed(data)
+        assert tracker is not None
+        tracker.feed(data)
+        progress = request.progress
+        progress.tokens = tracker.token_count
+        if progress.first_at is None and progress.tokens:
+            progress.first_at = self.read_clock()
 
     async def _finish_labels(
-        self, request: AgentRequest, tracker: LabelTracker, body: bytes
+        self, request: AgentRequest, tracker: LabelTracker
     ) -> tuple[TokenRange, ...]:
-        if not request.dispatch.stream:
-            tracker.feed_whole(body)
         if not request.is_sample:
             tracker.check_whole()
             return ()
@@ -193,8 +219,8 @@
             ) from error
         return tracker.finish(after)
 
-    def _check_length(self, body: bytearray) -> None:
-        if len(body) > self.max_answer_bytes:
+    def _check_length(self, received: int) -> None:
+        if received > self.max_answer_bytes:
             raise BuckthornstileError(
                 ErrorCode.UPSTREAM_FAILED,
                 f"the answer is longer than {self.max_answer_bytes} bytes",
@@ -204,3 +230,7 @@
 
 def _make_started(request: AgentRequest, head: AnswerHead) -> Started:
     return Started(request.dispatch.request_id, head.status, head.content_type)
+
+
+def _is_stream(head: AnswerHead) -> bool:
+    return head.status == HTTP_OK and head.content_type.startswith(EVENT_STREAM)
--- a/buckthornstile/agent/_daemon.py
+++ b/buckthornstile/agent/_daemon.py
@@ -21,6 +21,7 @@
     BuckthornstileError,
     Incarnation,
     Offset,
+    RequestClass,
     Role,
     Term,
     WeightVersion,
@@ -49,6 +50,7 @@
 )
 
 TICK_SECONDS = 0.25
+PROGRESS_SECONDS = 1.0
 PAUSE_SECONDS = 1.5
 HOLD_AFTER_PAUSE_SECONDS = 0.5
 MAX_LOG_LAG_SECONDS = 3.0
@@ -158,6 +160,7 @@
         """Makes the next heartbeat."""
         self._sequence += 1
         scheduler = self.scheduler
+        queued, queued_tokens = scheduler.queue.compute_work_ahead(RequestClass.TRAINER)
         incarnation = Incarnation("")
         if self.monitor is not None:
             incarnation = self.monitor.state.incarnation
@@ -170,9 +173,12 @@
             version=self.version,
             limit=float(self.limit.limit),
             running=scheduler.running_count,
-            queued=len(scheduler.queue),
-            queued_tokens=int(scheduler.queue.queued_cost),
-            tokens_per_second=scheduler.tokens_per_second,
+            queued=queued,
+            queued_tokens=int(queued_tokens),
+            background_tokens=int(scheduler.queue.queued_cost - queued_tokens),
+            tokens_per_second=(
+                self.limit.tokens_per_second or scheduler.tokens_per_second
+            ),
             term=self.orders.term,
             fetched_version=self.fetcher.fetched_version,
         )
@@ -235,6 +241,7 @@
     async def watch_pauses(self) -> None:
         """Notices that this process was paused, and lets it catch up first."""
         last = self.read_clock()
+        reported_at = last
         while True:
             await asyncio.sleep(TICK_SECONDS)
             now = self.read_clock()
@@ -243,6 +250,9 @@
                 self.scheduler.hold(HOLD_AFTER_PAUSE_SECONDS)
             last = now
             self.scheduler.finished.expire(now)
+            if now - reported_at >= PROGRESS_SECONDS:
+                self.scheduler.report_progress(now)
+                reported_at = now
             self.scheduler.pump()
 
     async def follow_log(self) -> None:
--- a/buckthornstile/agent/_replies.py
+++ b/buckthornstile/agent/_replies.py
@@ -6,31 +6,6 @@
 from buckthornstile.guard import KeptAnswer
 from buckthornstile.wire import Answer, Dispatch, End, FinishedSample, compute_digest
 
-MIN_PACE_TOKENS = 16
-"""Shorter answers count as this long: their first token weighs too much."""
-
-
-def compute_pace(answer: KeptAnswer, seconds: float) -> float:
-    """Computes the latency that the concurrency limit is steered by.
-
-    Answers of an engine differ in length, so that their whole time says little;
-    the time for each token is comparable, and grows with the engine's load.
-
-    Args:
-        answer: The answer.
-        seconds: How long it took.
-
-    Returns:
-        Seconds a token, or of the whole answer if it has no tokens.
-
-    Example:
-        >>> compute_pace(KeptAnswer(200, "", b"", generated_tokens=100), 2.0)
-        0.02
-    """
-    if not answer.generated_tokens:
-        return seconds
-    return seconds / max(answer.generated_tokens, MIN_PACE_TOKENS)
-
 
 def make_answer(
     request_id: RequestId, answer: KeptAnswer, *, queue_wait: float = 0.0
--- a/buckthornstile/agent/_requests.py
+++ b/buckthornstile/agent/_requests.py
@@ -1,7 +1,7 @@
 """What an agent knows of one request between its arrival and its end."""
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from buckthornstile.base import BuckthornstileError
 from buckthornstile.queueing import QueueItem
@@ -10,6 +10,40 @@
 DEFAULT_COST_TOKENS = 32.0
 
 
+@dataclass(slots=True)
+class StreamProgress:
+    """How far an engine's stream of tokens has come.
+
+    Args:
+        first_at: The clock reading at the first token, or None before it.
+        tokens: Tokens so far.
+        counted: Tokens that have been reported to the limit.
+        counted_at: The clock reading up to which its time has been reported.
+    """
+
+    first_at: float | None = None
+    tokens: int = 0
+    counted: int = 0
+    counted_at: float = 0.0
+
+    def take(self, now: float) -> tuple[int, float]:
+        """Gives the tokens and the streaming time since the last call.
+
+        Args:
+            now: The clock reading, in seconds.
+
+        Returns:
+            Tokens, and seconds; the first token's wait is not part of them.
+        """
+        if self.first_at is None:
+            return 0, 0.0
+        since = max(self.first_at, self.counted_at)
+        tokens = self.tokens - self.counted
+        self.counted = self.tokens
+        self.counted_at = now
+        return tokens, now - since
+
+
 @dataclass(slots=True)
 class AgentRequest:
     """One request at an agent.
@@ -22,6 +56,7 @@
         task: The upstream call, once it runs.
         stop_error: Why the call was cancelled, if it was.
         has_begun: Whether the upstream call's task has made its first step.
+        progress: How far its stream of tokens has come.
     """
 
     dispatch: Dispatch
@@ -31,6 +66,7 @@
     task: asyncio.Task[None] | None = None
     stop_error: BuckthornstileError | None = None
     has_begun: bool = False
+    progress: StreamProgress = field(default_factory=StreamProgress)
 
     @property
     def is_sample(self) -> bool:
--- a/buckthornstile/agent/_scheduler.py
+++ b/buckthornstile/agent/_scheduler.py
@@ -8,7 +8,6 @@
 from buckthornstile.agent._admission import AgentCondition, check_request
 from buckthornstile.agent._calls import CallResult, UpstreamCaller
 from buckthornstile.agent._replies import (
-    compute_pace,
     drop_usage,
     make_answer,
     make_cancelled,
@@ -88,6 +87,8 @@
         self.counters = SchedulerCounters()
         self.running_slots = RunningSlots()
         self.tokens_per_second = 0.0
+        self._progress_tokens = 0
+        self._progress_seconds = 0.0
         self._open: dict[RequestId, AgentRequest] = {}
         self._running: set[RequestId] = set()
         self._held_until = float("-inf")
@@ -297,7 +298,7 @@
         self._count_usage(dispatch, answer)
         self.queue.charge(dispatch.request_id, float(answer.generated_tokens or 1))
         self._note_speed(answer.generated_tokens, now - started_at)
-        self.limit.on_first_token(compute_pace(answer, now - started_at), now)
+        self._note_latency(request, started_at, now)
         self.limit.on_finish(answer.status < SERVER_ERROR_STATUS, now)
         if request.is_sample:
             self.finished.add(
@@ -340,6 +341,31 @@
         self.limit.on_finish(error.code is ErrorCode.CANCELLED, now)
         request.reply(make_failure(dispatch.request_id, error))
 
+    def _note_latency(
+        self, request: AgentRequest, started_at: float, now: float
+    ) -> None:
+        """Tells the limit when the first token came, or a plain answer's end."""
+        first_at = request.progress.first_at
+        self._count_progress(request, now)
+        self.limit.on_first_token((first_at or now) - started_at, now)
+
+    def _count_progress(self, request: AgentRequest, now: float) -> None:
+        tokens, seconds = request.progress.take(now)
+        self._progress_tokens += tokens
+        self._progress_seconds += seconds
+
+    def report_progress(self, now: float) -> None:
+        """Tells the limit how fast streams run; to be called about once a second.
+
+        Args:
+            now: The clock reading, in seconds.
+        """
+        for request_id in self._running:
+            self._count_progress(self._open[request_id], now)
+        self.limit.on_progress(self._progress_tokens, self._progress_seconds, now)
+        self._progress_tokens = 0
+        self._progress_seconds = 0.0
+
     def _note_speed(self, tokens: int, seconds: float) -> None:
         speed = max(tokens, 1) / max(seconds, 1e-6) * max(len(self._running), 1)
         if self.tokens_per_second <= 0:
--- a/buckthornstile/samples/_labels.py
+++ b/buckthornstile/samples/_labels.py
@@ -5,6 +5,8 @@
 agree; anything else is an error, so that the sample is made again.
 """
 
+import json
+
 from buckthornstile.base import WeightVersion
 from buckthornstile.ports import EngineState
 from buckthornstile.samples._events import (
@@ -39,6 +41,7 @@
     def __init__(self, before: EngineState) -> None:
         self.before = before
         self.usage: EngineUsage | None = None
+        self.tokens: list[str] = []
         self._lines = EventLines()
         self._labels: list[TokenRange] = []
         self._first = 0
@@ -103,6 +106,30 @@
         self._done = True
         self._sound = True
 
+    def make_whole_body(self) -> bytes:
+        """Makes the whole JSON answer that a stream of events amounts to.
+
+        Returns:
+            The form that :meth:`feed_whole` reads.
+
+        Raises:
+            BuckthornstileError: With ``VERSION_UNVERIFIABLE`` if the stream is
+                not whole.
+        """
+        self.check_whole()
+        assert self.usage is not None
+        self._close_range()
+        answer = {
+            "text": "".join(self.tokens),
+            "tokens": self.tokens,
+            "versions": [[r.first, r.last, r.version] for r in self._labels],
+            "usage": {
+                "prompt_tokens": self.usage.prompt_tokens,
+                "generated_tokens": self.usage.generated_tokens,
+            },
+        }
+        return json.dumps(answer, separators=(",", ":")).encode()
+
     def finish(self, after: EngineState) -> tuple[TokenRange, ...]:
         """Gives the labels of the whole answer.
 
@@ -136,6 +163,8 @@
         if version != self._version:
             self._change_version(version)
         self._count += 1
+        token = event.get("token")
+        self.tokens.append(token if isinstance(token, str) else "")
 
     def _take_range(self, item: object) -> None:
         if not isinstance(item, list) or not all(map(is_count, item)):
--- a/examples/_journals.py
+++ b/examples/_journals.py
@@ -65,7 +65,7 @@
                 tokens = make_tokens(
                     body["prompt"], body["max_tokens"], seed=body.get("seed", 0)
                 )
-                key = (body["prompt"], " ".join(tokens))
+                key = (body["prompt"], "".join(tokens))
                 runs.setdefault(key, []).append(entry)
     return sum(not _is_vouched_for(sample, lot, runs) for sample in samples)
 
--- a/examples/tests/test_demo.py
+++ b/examples/tests/test_demo.py
@@ -117,7 +117,7 @@
         "body": json.dumps({"prompt": "p", "max_tokens": 4, "seed": 5}),
         "true_ranges": [[0, 1, 1], [2, 3, 2]],
     }
-    tokens = " ".join(make_tokens("p", 4, seed=5)) if text == "right" else "x"
+    tokens = "".join(make_tokens("p", 4, seed=5)) if text == "right" else "x"
     assert count_label_errors([make_sample(tokens, *labels)], LOT, [[run]]) == errors
 
 
--- a/standins/engine/_completions.py
+++ b/standins/engine/_completions.py
@@ -204,7 +204,7 @@
         names = [token for token, _, _ in tokens]
         data = json.dumps(
             {
-                "text": " ".join(names),
+                "text": "".join(names),
                 "tokens": names,
                 "versions": group_versions(tokens),
                 "usage": self._make_usage(),
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -16,7 +16,7 @@
     "agent": {"initial_limit": 4, "maximum_limit": 4},
 }
 CALLERS = 12
-CALLS = 20
+MOST_CALLS = 300
 
 
 def register_spare(deployment, name, domain, service):
@@ -35,9 +35,11 @@
     deployment.platform.call("PUT", f"/control/spares/agent-{name}", fields)
 
 
-def send_calls(deployment, key):
+def send_calls(deployment, key, served):
     entry = deployment.entries["e1"]
-    for _ in range(CALLS):
+    for _ in range(MOST_CALLS):
+        if served.is_set():
+            break
         deployment.call_entry(entry, key, "/v1/completions", {"max_tokens": 60})
 
 
@@ -68,18 +70,22 @@
                 lambda entry=entry: knows(deployment, entry, {"m1", "s1"}),
                 f"{entry} knows both failure domains",
             )
+        served = threading.Event()
         callers = [
-            threading.Thread(target=send_calls, args=(deployment, key))
+            threading.Thread(target=send_calls, args=(deployment, key, served))
             for _ in range(CALLERS)
         ]
         for caller in callers:
             caller.start()
-        deployment.wait_for(
-            lambda: has_served(deployment.upstreams["m2"]),
-            "the spare upstream serves",
-        )
-        for caller in callers:
-            caller.join()
+        try:
+            deployment.wait_for(
+                lambda: has_served(deployment.upstreams["m2"]),
+                "the spare upstream serves",
+            )
+        finally:
+            served.set()
+            for caller in callers:
+                caller.join()
         starts = [
             order
             for order in deployment.platform.read_journal("order")
