Test an entry's own withdrawal from a lot apart from its agents'

Cause: with the entry's cancellation of a withdrawn lot's runs switched off all 6 tests passed, since the agents and the lot's deadline cut the runs as well. Change: the agents in the test have not heard of the withdrawal, and the runs are looked at before the lot decides.

--- a/buckthornstile/entry/tests/test_lots.py
+++ b/buckthornstile/entry/tests/test_lots.py
@@ -7,6 +7,7 @@
 
 from buckthornstile.agent.tests.fakes import settle
 from buckthornstile.base import BuckthornstileError, ErrorCode, Incarnation
+from buckthornstile.configuration import make_configuration
 from buckthornstile.entry._calls import Call
 from buckthornstile.entry._lots import LotDesk
 from buckthornstile.entry.tests.fakes import Network
@@ -194,16 +195,16 @@
         desk = trainer.make_desk()
         stream = await trainer.attach(desk)
         seen = len(network.list_seen())
-        for world in network.worlds.values():
-            world.withdraw("mill")
-        desk.on_configuration(network.get_configuration())
-        trainer.decide(desk)
+        key = network.get_configuration().keys["key-mill"]
+        withdrawn = key.model_copy(update={"withdrawn": True})
+        # The agents have not heard of it yet.
+        desk.on_configuration(make_configuration([withdrawn, RULE]))
         await settle()
+        assert not any(w.upstream.open for w in network.worlds.values())
         trainer.decide(desk)
         await settle()
-        (error, *_) = trainer.read(stream)
+        (error,) = trainer.read(stream)
         assert error.code is ErrorCode.KEY_WITHDRAWN and stream._ended
-        assert not any(w.upstream.open for w in network.worlds.values())
         assert len(network.list_seen()) == seen
 
     play_lots(story)
