Do not count a withdrawn key's runs against their upstream

Cause: a run cut because its key was withdrawn counted as the upstream's failure, and lowered its concurrency limit; only a caller's own cancellation did not. Change: whatever the agent itself stopped does not count.

--- a/buckthornstile/agent/_scheduler.py
+++ b/buckthornstile/agent/_scheduler.py
@@ -337,7 +337,7 @@
         self.table.fail(dispatch.request_id, error.verdict, now)
         incarnation, counter = split_request_id(dispatch.request_id)
         self.ledger.finish(incarnation, counter, None)
-        self.limit.on_finish(error.code is ErrorCode.CANCELLED, now)
+        self.limit.on_finish(request.stop_error is not None, now)
         request.reply(make_failure(dispatch.request_id, error))
 
     def _note_speed(self, tokens: int, seconds: float) -> None:
--- a/buckthornstile/agent/tests/test_agent.py
+++ b/buckthornstile/agent/tests/test_agent.py
@@ -310,3 +310,10 @@
     recovery = story.agent.scheduler.ledger.recover(0.0, ["entry-1-a"])
     assert decode_record(recovery.model_dump_json().encode()) == recovery
     assert recovery.requests[0].line.generated_tokens == 20
+
+
+def test_a_withdrawn_key_does_not_count_against_the_upstream(story):
+    story.ask("plain")
+    story.run(lambda: story.world.withdraw("mill"))
+    others = [story.ask("plain", story.two, "yard") for _ in range(2)]
+    assert set(others) == set(story.upstream.open)
