--- a/tests/test_samples.py
+++ b/tests/test_samples.py
@@ -24,24 +24,26 @@
     async def scenario(world):
         trainer = world.make_trainer()
         version = 1
-        lot = make_lot("lot-0", groups=4, samples=8, tokens=100, maximum_age=1)
+        lot = make_lot("lot-0", groups=8, samples=8, tokens=100, maximum_age=1)
+        add_fault(world, fault)
         running = asyncio.create_task(
             world.run_lot(trainer, lot, get_version=lambda: version)
         )
-        for newer in (2, 3, 4):
-            count = len(world.evidence.samples) + 4
+        # The second step makes all that runs at its beginning too old.
+        for newer in ((2,), (3, 4)):
+            count = len(world.evidence.samples) + 8
             await world.until(
                 lambda n=count: len(world.evidence.samples) >= n, "samples come"
             )
-            for engine in world.upstreams.values():
-                if FAULTS[fault]:
-                    engine.add_fault(**FAULTS[fault])
-                order = {"version": newer, "term": newer}
-                # A swap that fails is ordered again.
-                await asyncio.to_thread(swap, engine, order)
-            await trainer.set_version(newer)
-            version = newer
-        assert len(await running) == 32
+            add_fault(world, fault)
+            for number in newer:
+                order = {"version": number, "term": number}
+                for engine in world.upstreams.values():
+                    # A swap that fails is ordered again.
+                    await asyncio.to_thread(swap, engine, order)
+            version = newer[-1]
+            await trainer.set_version(version)
+        assert len(await running) == 64
         versions = {v for s in world.evidence.samples for _, _, v in s.labels}
         assert len(versions) > 1, "no sample was made by newer weights"
         world.check()
@@ -50,6 +52,12 @@
         asyncio.run(scenario(world))
 
 
+def add_fault(world, fault):
+    for engine in world.upstreams.values():
+        if FAULTS[fault]:
+            engine.add_fault(**FAULTS[fault])
+
+
 def swap(engine, order):
     for _ in range(3):
         try:
