--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -1,10 +1,11 @@
 """The VM list lags, is empty or down; a new upstream starts cold."""
 
 import asyncio
+import time
 
 import pytest
 
-from tests.support import DESK, World
+from tests.support import DESK, SETTLE, World
 
 INITIAL_LIMIT = 2
 
@@ -41,7 +42,8 @@
                 world.add_service, "desk-1", "bench-b", DESK, delay_seconds=0.4
             )
             peaks = {}
-            while max(peaks, default=0) < 30:
+            deadline = time.monotonic() + SETTLE
+            while time.monotonic() < deadline and max(peaks, default=0) < 30:
                 journal = await asyncio.to_thread(
                     world.upstreams["desk-1"].call, "GET", "/control/journal"
                 )
