Leave nothing open of a request that cannot be sent

Cause: an error other than a coded one, such as a frame that is too long, left the request's counter open in the usage for good, which holds back each later confirmation and a planned stop. Change: any error at sending finishes the counter.

--- a/buckthornstile/entry/_dispatcher.py
+++ b/buckthornstile/entry/_dispatcher.py
@@ -143,7 +143,7 @@
         self.usage.open(counter)
         try:
             pending = link.dispatch(dispatch)
-        except BuckthornstileError:
+        except Exception:
             self.usage.finish(counter, None)
             raise
         self.counters.sent += 1
--- a/buckthornstile/entry/tests/test_dispatch.py
+++ b/buckthornstile/entry/tests/test_dispatch.py
@@ -268,3 +268,34 @@
         assert network.usage.is_settled
 
     play(story, count=1)
+
+
+def test_a_crossed_answer_is_an_error_and_its_run_is_stopped(play):
+    async def story(network):
+        task = network.call()
+        await settle()
+        ((name, request_id),) = network.list_seen()
+        network.ends[name].send(Chunk(request_id, 5, b"another's"))
+        outcome = (Verdict.MAY_HAVE_RUN, ErrorCode.ANSWER_CROSSED)
+        assert await get_refusal(task) == outcome
+        await settle()
+        assert not network.worlds[name].upstream.open
+
+    play(story)
+
+
+def test_a_request_that_cannot_be_sent_stays_open_nowhere(play):
+    async def story(network):
+        def refuse(message):
+            raise ValueError("the frame is too long")
+
+        link = network.fleet.links["u0"]
+        link.connection.send = refuse
+        with pytest.raises(ValueError):
+            await network.call()
+        assert link.open_count == link.view.in_flight == 0
+        network.usage.confirm(network.usage.make_batch(0.0))
+        assert network.usage.is_settled
+        del link.connection.send
+
+    play(story, count=1)
