Bill a replayed or joined answer under the request that ran, and only there

Cause: a retry that got the first attempt's answer, or a slot that joined a running sample, was counted as one more request without tokens by its entry, beside the count of the request that ran. Ruled out: leaving it to the fold; it cannot tell a replay from a run. Change: Answer and End say whether another request made the answer; the entry counts nothing for those. Agents write log lines for changes of state.

--- a/benchmarks/policy/policies.py
+++ b/benchmarks/policy/policies.py
@@ -39,7 +39,7 @@
     planned_scale: bool = True
     load_factor: float = 1.25
     knee: bool = True
-    burst: float = 1000.0
+    burst: float = 300.0
     credit: float = 4000.0
     affinity_factor: float = 2.5
     choices: int = 2
--- a/buckthornstile/agent/_daemon.py
+++ b/buckthornstile/agent/_daemon.py
@@ -30,6 +30,7 @@
 from buckthornstile.configuration import ConfigurationFold
 from buckthornstile.guard import RequestTable
 from buckthornstile.limits import ConcurrencyLimit, RampRestart
+from buckthornstile.logs import log_change, set_up_logs
 from buckthornstile.platform import make_platform_ports
 from buckthornstile.ports import EnginePort, EngineState, PlatformPorts, UpstreamPort
 from buckthornstile.queueing import FairQueue
@@ -203,6 +204,9 @@
         """
         outcome = self.configuration.merge_relay(records)
         if outcome.applied:
+            log_change(
+                "configuration.in_force", "a revision came", revision=outcome.revision
+            )
             self._on_configuration()
         return outcome.missing_after
 
@@ -211,6 +215,12 @@
         self.scheduler.pump()
 
     def _on_engine_change(self, earlier: EngineState, state: EngineState) -> None:
+        log_change(
+            "engine.changed",
+            "the engine's life or version changed",
+            incarnation=state.incarnation,
+            version=state.version,
+        )
         if earlier.incarnation and earlier.incarnation != state.incarnation:
             self.limit.restart(RampRestart.ENGINE_INCARNATION, self.read_clock())
         self.scheduler.pump()
@@ -235,6 +245,7 @@
     def count_refusal(self, error: BuckthornstileError) -> None:
         """Counts a connection that was refused or broke its protocol."""
         self.refusals += 1
+        log_change(error.code, "a connection was refused or broken off")
 
     # Background work
 
@@ -247,6 +258,7 @@
             now = self.read_clock()
             if now - last > PAUSE_SECONDS:
                 self.pauses += 1
+                log_change("process.paused", f"it stood still for {now - last:.1f} s")
                 self.scheduler.hold(HOLD_AFTER_PAUSE_SECONDS)
             last = now
             self.scheduler.finished.expire(now)
@@ -300,6 +312,7 @@
     async def stop(self) -> None:
         """Takes no new work, and waits for what is open and unconfirmed."""
         self.draining = True
+        log_change("agent.stopping", "a planned stop has begun")
         for link in list(self.links):
             if not link.connection.closed:
                 link.connection.send(self.make_heartbeat())
@@ -387,4 +400,5 @@
     Args:
         settings: The agent's settings.
     """
+    set_up_logs(settings.log_format, process=settings.process, level=settings.log_level)
     asyncio.run(serve_agent(settings))
--- a/buckthornstile/agent/_replies.py
+++ b/buckthornstile/agent/_replies.py
@@ -61,20 +61,21 @@
     )
 
 
-def drop_usage(answer: KeptAnswer) -> KeptAnswer:
-    """Leaves out what was counted already, under the request that ran.
+def make_replay(request_id: RequestId, answer: KeptAnswer) -> Answer:
+    """Makes the message of an answer that another request made.
 
     Args:
+        request_id: The request that is answered.
         answer: The answer.
 
     Returns:
-        The same without token counts.
+        The message; its entry counts no usage for it.
 
     Example:
-        >>> drop_usage(KeptAnswer(200, "", b"", prompt_tokens=3)).prompt_tokens
-        0
+        >>> make_replay("e/1", KeptAnswer(200, "text/plain", b"yes")).replayed
+        True
     """
-    return dataclasses.replace(answer, prompt_tokens=0, generated_tokens=0)
+    return dataclasses.replace(make_answer(request_id, answer), replayed=True)
 
 
 def make_cancelled() -> BuckthornstileError:
--- a/buckthornstile/agent/_scheduler.py
+++ b/buckthornstile/agent/_scheduler.py
@@ -8,10 +8,10 @@
 from buckthornstile.agent._admission import AgentCondition, check_request
 from buckthornstile.agent._calls import CallResult, UpstreamCaller
 from buckthornstile.agent._replies import (
-    drop_usage,
     make_answer,
     make_cancelled,
     make_failure,
+    make_replay,
     make_sample,
 )
 from buckthornstile.agent._requests import AgentRequest
@@ -172,7 +172,7 @@
     def _replay(self, request: AgentRequest, answer: KeptAnswer) -> None:
         self.counters.replayed += 1
         dispatch = request.dispatch
-        request.reply(make_answer(dispatch.request_id, drop_usage(answer)))
+        request.reply(make_replay(dispatch.request_id, answer))
 
     # Start
 
@@ -282,7 +282,7 @@
                 joined.reply(make_failure(request_id, outcome))
                 continue
             self.table.finish(request_id, now)
-            joined.reply(make_answer(request_id, drop_usage(outcome)))
+            joined.reply(make_replay(request_id, outcome))
 
     # End
 
--- a/buckthornstile/agent/tests/test_agent.py
+++ b/buckthornstile/agent/tests/test_agent.py
@@ -245,7 +245,7 @@
     story.run(lambda: story.upstream.end(first))
     refusal, answer = story.two.list_ends(second)
     assert refusal.code is ErrorCode.SEALED
-    assert isinstance(answer, Answer) and answer.generated_tokens == 0
+    assert isinstance(answer, Answer) and answer.replayed
     assert story.list_seen() == [first]
     assert story.recover() == [0]
     assert len(story.agent.scheduler.ledger) == 1
--- a/buckthornstile/entry/_dispatcher.py
+++ b/buckthornstile/entry/_dispatcher.py
@@ -174,7 +174,8 @@
     def _count(self, dispatch: Dispatch, end: End | None) -> None:
         counter = int(dispatch.request_id.rpartition("/")[2])
         line = None
-        if end is not None and end.verdict is Verdict.RAN:
+        ran = end is not None and end.verdict is Verdict.RAN
+        if end is not None and ran and not end.replayed:
             line = UsageLine(
                 account=dispatch.account,
                 service=dispatch.service,
--- a/buckthornstile/entry/tests/test_dispatch.py
+++ b/buckthornstile/entry/tests/test_dispatch.py
@@ -190,6 +190,8 @@
         network.end_all()
         assert await retry(network) == await task
         assert len(network.list_seen()) == 1
+        batch = network.usage.make_batch(9.0)
+        assert [line.requests for line in batch.lines] == [1]
 
     play(story, count=3)
 
--- a/buckthornstile/queueing/_fair_queue.py
+++ b/buckthornstile/queueing/_fair_queue.py
@@ -164,7 +164,7 @@
         maximum_items: int = 2048,
         maximum_items_per_account: int = 1024,
         floor: float = 0.05,
-        burst: float = 1000.0,
+        burst: float = 300.0,
         credit: float = 4000.0,
     ) -> None:
         self.maximum_items = maximum_items
--- a/buckthornstile/wire/_messages.py
+++ b/buckthornstile/wire/_messages.py
@@ -182,6 +182,7 @@
         generated_tokens: Tokens made.
         retry_after: Seconds after which a retry may succeed; 0 for unknown.
         queue_wait: Seconds that it waited in the agent's queue.
+        replayed: Whether another request made this answer, and was counted.
     """
 
     request_id: RequestId
@@ -195,6 +196,7 @@
     generated_tokens: int = 0
     retry_after: float = 0.0
     queue_wait: float = 0.0
+    replayed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -211,6 +213,7 @@
         prompt_tokens: Tokens read.
         generated_tokens: Tokens made.
         queue_wait: Seconds that it waited in the agent's queue.
+        replayed: Whether another request made this answer, and was counted.
     """
 
     request_id: RequestId
@@ -222,6 +225,7 @@
     prompt_tokens: int = 0
     generated_tokens: int = 0
     queue_wait: float = 0.0
+    replayed: bool = False
 
     def split(self) -> tuple[Started, Chunk, End]:
         """Gives the messages that it stands for."""
@@ -237,6 +241,7 @@
                 prompt_tokens=self.prompt_tokens,
                 generated_tokens=self.generated_tokens,
                 queue_wait=self.queue_wait,
+                replayed=self.replayed,
             ),
         )
 
--- a/buckthornstile/wire/messages.capnp
+++ b/buckthornstile/wire/messages.capnp
@@ -94,6 +94,7 @@
   generatedTokens @8 :UInt32;
   retryAfter @9 :Float64;
   queueWait @10 :Float64;
+  replayed @11 :Bool;
 }
 
 struct Answer {
@@ -106,6 +107,7 @@
   promptTokens @6 :UInt32;
   generatedTokens @7 :UInt32;
   queueWait @8 :Float64;
+  replayed @9 :Bool;
 }
 
 struct Cancel {
