Give a new upstream of unknown speed its peers' typical speed

Ruled out: the order (one, carried out), the VM list, the link (connected, idle). Change: the median speed of the peers that have shown one stands for it.

--- a/buckthornstile/routing/_choice.py
+++ b/buckthornstile/routing/_choice.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from enum import Enum
 from random import Random
+from statistics import median
 
 from buckthornstile.base import (
     UNKNOWN_VERSION,
@@ -84,13 +85,21 @@
     retry_after: float = 0.0
 
 
-def predict_wait(view: UpstreamView, request: RouteRequest, now: float) -> float:
+def predict_wait(
+    view: UpstreamView,
+    request: RouteRequest,
+    now: float,
+    *,
+    typical_speed: float = _DEFAULT_TOKENS_PER_SECOND,
+) -> float:
     """Predicts how long a request would take, its wait in the queue included.
 
     Args:
         view: The upstream.
         request: The request.
         now: The clock reading, in seconds.
+        typical_speed: What an upstream is taken to make that has shown no speed
+            yet, in tokens a second.
 
     Returns:
         The time, in seconds; only its order matters.
@@ -100,7 +109,7 @@
         >>> predict_wait(view, RouteRequest("s", cost=100), 0.0)
         4.0
     """
-    speed = view.tokens_per_second or _DEFAULT_TOKENS_PER_SECOND
+    speed = view.tokens_per_second or typical_speed
     limit = max(view.limit, 1.0)
     busy = view.compute_busy(now)
     excess = max(0.0, busy + 1.0 - limit)
@@ -164,15 +173,16 @@
         return RouteChoice(None, refusal, ErrorCode.NO_UPSTREAM, _RETRY_SECONDS)
     if len(eligible) == 1:
         return RouteChoice(eligible[0].upstream, ChoiceReason.ONLY_ONE)
+    speed = _find_typical_speed(eligible)
     if request.prefix:
-        bounds = _AffinityBounds(load_factor, affinity_factor)
+        bounds = _AffinityBounds(load_factor, affinity_factor, speed)
         choice = _choose_by_prefix(eligible, request, now, prefixes, bounds)
         if choice is not None:
             return choice
     drawn = rng.sample(eligible, min(choices, len(eligible)))
 
     def cost_of(view: UpstreamView) -> float:
-        wait = predict_wait(view, request, now)
+        wait = predict_wait(view, request, now, typical_speed=speed)
         return wait - (domain_bonus if view.failure_domain == failure_domain else 0.0)
 
     best = min(drawn, key=cost_of)
@@ -183,6 +193,17 @@
 class _AffinityBounds:
     load_factor: float
     affinity_factor: float
+    typical_speed: float
+
+
+def _find_typical_speed(views: Sequence[UpstreamView]) -> float:
+    """Finds the speed that a new upstream is taken to have: its peers' median.
+
+    With less it would look slow beside busy peers, get no work, and so never
+    show its speed.
+    """
+    known = [view.tokens_per_second for view in views if view.tokens_per_second > 0]
+    return median(known) if known else _DEFAULT_TOKENS_PER_SECOND
 
 
 def _find_eligible(
@@ -234,7 +255,12 @@
     total_limit = sum(max(view.limit, 1.0) for view in eligible)
     mean_load = (sum(busy.values()) + 1.0) / total_limit
 
-    waits = {view.upstream: predict_wait(view, request, now) for view in eligible}
+    waits = {
+        view.upstream: predict_wait(
+            view, request, now, typical_speed=bounds.typical_speed
+        )
+        for view in eligible
+    }
     longest = bounds.affinity_factor * min(waits.values())
 
     def has_room(view: UpstreamView) -> bool:
--- a/buckthornstile/routing/tests/test_properties.py
+++ b/buckthornstile/routing/tests/test_properties.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from random import Random
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -159,3 +160,22 @@
     assert reason(make_views(), excluded=every) is ChoiceReason.ALL_EJECTED
     loading = make_views(state=UpstreamState.LOADING)
     assert reason(loading) is ChoiceReason.LEAST_WAIT
+
+
+@pytest.mark.parametrize("prefix", ["", "p1", "p2", "p3"])
+def test_a_new_upstream_of_unknown_speed_gets_work_beside_a_busy_one(prefix):
+    busy = UpstreamView(
+        "u1",
+        "s",
+        "d",
+        heartbeat_at=0.0,
+        limit=4,
+        running=4,
+        queued=8,
+        queued_tokens=480,
+        tokens_per_second=1300.0,
+    )
+    new = UpstreamView("u2", "s", "d", heartbeat_at=0.0, limit=2)
+    request = RouteRequest("s", cost=60, prefix=prefix)
+    choice = choose_upstream([busy, new], request, now=0.0, rng=Random(1))
+    assert choice.upstream == "u2"
