Age the log's lag, heed the heartbeat timeout everywhere, measure 1,000 open requests

Cause: an agent believed a frozen entry's last word on the log; lots, duties and the choice took the default timeout of 3 s whatever the setting; and the memory figure was taken at 123 open requests, since the slow service answered too soon.

--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -29,6 +29,7 @@
 STREAMS = 64
 STREAM_TOKENS = 400
 OPEN_REQUESTS = 1000
+SLOW_SECONDS = 6.0
 TARGETS = {
     "added_p50_ms": 3.0,
     "cpu_ratio": 2.5,
@@ -218,7 +219,7 @@
             for _ in range(OPEN_REQUESTS)
         ]
     )
-    await asyncio.sleep(1.5)
+    await asyncio.sleep(SLOW_SECONDS / 2)
     status = deployment.read_status("e1")
     result = {
         "open_calls": status["open_calls"],
@@ -272,10 +273,16 @@
     parser.add_argument("--requests", type=int, default=3000)
     parser.add_argument("--clients", type=int, default=16)
     options = parser.parse_args()
-    settings = {"agent": {"queue_length": 2 * OPEN_REQUESTS, "initial_limit": STREAMS}}
+    settings = {
+        "agent": {
+            "queue_length": 2 * OPEN_REQUESTS,
+            "initial_limit": OPEN_REQUESTS,
+            "maximum_limit": OPEN_REQUESTS,
+        }
+    }
     with Deployment(daemon_settings=settings) as deployment:
         deployment.add_service("s1", "bench-a", "quotes")
-        deployment.add_service("slow", "bench-a", "slow", delay_seconds=0.1)
+        deployment.add_service("slow", "bench-a", "slow", delay_seconds=SLOW_SECONDS)
         deployment.add_engine(
             "m1", "bench-a", "models", slots=STREAMS, token_seconds=0.01
         )
--- a/buckthornstile/agent/_daemon.py
+++ b/buckthornstile/agent/_daemon.py
@@ -271,7 +271,8 @@
         """Reads the log itself while no entry stands near its end."""
         while True:
             await asyncio.sleep(1.0)
-            lags = [link.log_lag for link in self.links if not link.connection.closed]
+            now = self.read_clock()
+            lags = [link.get_log_lag(now) for link in self.links]
             if min(lags, default=float("inf")) <= MAX_LOG_LAG_SECONDS:
                 continue
             with contextlib.suppress(BuckthornstileError):
--- a/buckthornstile/agent/_links.py
+++ b/buckthornstile/agent/_links.py
@@ -61,6 +61,16 @@
         assert self.connection.peer is not None
         return self.connection.peer.incarnation
 
+    def get_log_lag(self, now: float) -> float:
+        """Gives the seconds since the entry stood at the log's end, by now.
+
+        Args:
+            now: The clock reading, in seconds.
+        """
+        if self.connection.closed:
+            return float("inf")
+        return self.log_lag + now - self.heard_at
+
     async def serve(self) -> None:
         """Handles the entry's messages until the connection ends.
 
--- a/buckthornstile/entry/_dispatcher.py
+++ b/buckthornstile/entry/_dispatcher.py
@@ -205,6 +205,7 @@
             rng=self.rng,
             failure_domain=self.fleet.owner.identity.failure_domain,
             is_ejected=lambda upstream: self.ejection.is_ejected(upstream, now),
+            heartbeat_timeout=self.fleet.owner.heartbeat_timeout,
         )
         if choice.upstream is None:
             self.counters.no_upstream += 1
--- a/buckthornstile/entry/_duties.py
+++ b/buckthornstile/entry/_duties.py
@@ -117,7 +117,7 @@
         return [
             link
             for link in self.entry.fleet.links.values()
-            if link.view.is_alive(now)
+            if link.view.is_alive(now, timeout=self.entry.heartbeat_timeout)
             and link.view.version != UNKNOWN_VERSION
             and not link.view.leaving
         ]
--- a/buckthornstile/entry/_lots.py
+++ b/buckthornstile/entry/_lots.py
@@ -351,7 +351,9 @@
         capacity = 0.0
         idle = 0.0
         for view in self.entry.fleet.list_views():
-            usable = view.service == opened.rule.service and view.is_alive(now)
+            usable = view.service == opened.rule.service and view.is_alive(
+                now, timeout=self.entry.heartbeat_timeout
+            )
             if not usable or view.drained or view.leaving:
                 continue
             busy = view.compute_busy(now)
--- a/buckthornstile/entry/_scale.py
+++ b/buckthornstile/entry/_scale.py
@@ -99,7 +99,10 @@
     def _group_links(self, now: float) -> dict[ServiceName, list[AgentLink]]:
         groups: dict[ServiceName, list[AgentLink]] = {}
         for link in self.entry.fleet.links.values():
-            if link.view.is_alive(now) and not link.view.leaving:
+            if (
+                link.view.is_alive(now, timeout=self.entry.heartbeat_timeout)
+                and not link.view.leaving
+            ):
                 groups.setdefault(link.view.service, []).append(link)
         return groups
 
