--- a/buckthornstile/entry/_handlers.py
+++ b/buckthornstile/entry/_handlers.py
@@ -14,7 +14,7 @@
     classify_call,
     parse_call,
 )
-from buckthornstile.entry._lots import LotStream
+from buckthornstile.entry._open_lots import LotStream
 from buckthornstile.entry._writers import StreamWriter, WholeWriter, write_error
 from buckthornstile.metrics import CounterName, Measure
 
--- a/buckthornstile/entry/_lots.py
+++ b/buckthornstile/entry/_lots.py
@@ -1,149 +1,42 @@
 """Runs trainers' lots: turns their actions into requests and lines."""
 
 import asyncio
-import json
-from collections import deque
-from functools import singledispatchmethod
 from typing import TYPE_CHECKING
 
-from pydantic import TypeAdapter, ValidationError
-
 from buckthornstile.base import (
-    OPEN_ROUTE_KEY,
     AccountId,
     BuckthornstileError,
     ErrorCode,
     LotId,
-    RequestClass,
-    RequestId,
     TrainerId,
-    UpstreamId,
-    Verdict,
 )
 from buckthornstile.configuration import Configuration
 from buckthornstile.entry._calls import Call
-from buckthornstile.entry._links import AgentLink
-from buckthornstile.entry._pending import PendingRequest
-from buckthornstile.metrics import CounterName, Measure
-from buckthornstile.records import Rule
-from buckthornstile.routing import RouteRequest
+from buckthornstile.entry._lot_runner import LotRunner
+from buckthornstile.entry._open_lots import LotStream, OpenLot, parse_slots
 from buckthornstile.samples import (
-    Action,
-    CancelSlot,
-    CompleteLot,
-    CutDelivery,
-    DeliverSample,
-    DispatchSlot,
-    EndLine,
     ErrorLine,
-    FailLot,
-    HeartbeatLine,
     Lot,
     LotSpecification,
-    ReleaseSamples,
     Sample,
     encode_line,
-    encode_sample,
     make_lot_id,
     parse_specification,
 )
 from buckthornstile.wire import (
-    Chunk,
-    Dispatch,
-    End,
     FinishedSample,
     Slot,
-    Started,
     compute_digest,
 )
 
 if TYPE_CHECKING:
     from buckthornstile.entry._daemon import Entry
 
-LINE_HEARTBEAT_SECONDS = 1.0
 TICK_SECONDS = 0.1
 FETCH_TIMEOUT_SECONDS = 1.0
 QUEUE_AHEAD = 1.5
 QUEUE_AHEAD_SLOTS = 1.0
-MAX_SEED = 1 << 31
 KEEP_IDLE_LOT_SECONDS = 120.0
-_SLOTS: TypeAdapter[list[tuple[int, int]]] = TypeAdapter(list[tuple[int, int]])
-
-
-class LotStream:
-    """The lines on their way to one attach of a trainer.
-
-    Args:
-        request_class: The lot's class, for metrics.
-    """
-
-    def __init__(self, request_class: RequestClass) -> None:
-        self.request_class = request_class
-        self.closed = False
-        self._lines: deque[bytes] = deque()
-        self._event = asyncio.Event()
-        self._ended = False
-
-    def put(self, line: bytes) -> None:
-        """Adds a line."""
-        if not self._ended:
-            self._lines.append(line)
-            self._event.set()
-
-    def end(self) -> None:
-        """Ends the stream after the lines that wait."""
-        self._ended = True
-        self._event.set()
-
-    def close(self) -> None:
-        """Ends the stream at once: the trainer has gone."""
-        self.closed = True
-        self._lines.clear()
-        self.end()
-
-    async def next_line(self) -> bytes | None:
-        """Waits for the next line, or writes a heartbeat in silence.
-
-        Returns:
-            The line, or None at the end.
-        """
-        while not self._lines:
-            if self._ended:
-                return None
-            self._event.clear()
-            try:
-                async with asyncio.timeout(LINE_HEARTBEAT_SECONDS):
-                    await self._event.wait()
-            except TimeoutError:
-                return encode_line(HeartbeatLine())
-        return self._lines.popleft()
-
-
-class OpenLot:
-    """One lot with its requests and its trainer's stream.
-
-    Args:
-        lot: The lot's state.
-        account: The client account.
-        rule: The rule that serves it.
-        now: The clock reading, in seconds.
-    """
-
-    def __init__(self, lot: Lot, *, account: AccountId, rule: Rule, now: float) -> None:
-        self.lot = lot
-        self.account = account
-        self.key_id = OPEN_ROUTE_KEY
-        self.rule = rule
-        self.stream: LotStream | None = None
-        self.requests: dict[RequestId, tuple[AgentLink, PendingRequest]] = {}
-        self.tasks: set[asyncio.Task[None]] = set()
-        self.streamless_since = now
-        self.opened_at = now
-
-    @property
-    def specification(self) -> LotSpecification:
-        """What the trainer wants."""
-        return self.lot.specification
 
 
 class LotDesk:
@@ -156,6 +49,7 @@
     def __init__(self, entry: "Entry") -> None:
         self.entry = entry
         self.open: dict[LotId, OpenLot] = {}
+        self.runner = LotRunner(entry, wake=self.wake)
         self._wake = asyncio.Event()
 
     # The trainers' calls
@@ -191,7 +85,7 @@
         now = self.entry.read_clock()
         actions = opened.lot.on_attach(attach, received, specification.version, now)
         stream = LotStream(opened.rule.request_class)
-        self._run_actions(opened, actions)
+        self.runner.run(opened, actions)
         opened.stream = stream
         await self._fetch_finished(opened, attach)
         self.wake()
@@ -327,7 +221,7 @@
         for opened in urgent:
             capacity, idle = self._get_capacity(opened)
             actions = opened.lot.decide(now, capacity=capacity, idle_capacity=idle)
-            self._run_actions(opened, actions)
+            self.runner.run(opened, actions)
 
     def _is_forgotten(self, opened: OpenLot, now: float) -> bool:
         if opened.stream is not None and not opened.stream.closed:
@@ -337,11 +231,9 @@
 
     def _drop(self, lot_id: LotId, opened: OpenLot) -> None:
         del self.open[lot_id]
-        self._run_actions(
-            opened, opened.lot.decide(self.entry.read_clock(), capacity=0)
-        )
+        self.runner.run(opened, opened.lot.decide(self.entry.read_clock(), capacity=0))
         for request_id in list(opened.requests):
-            self._cancel(opened, request_id, "the lot is over")
+            self.runner.cancel(opened, request_id, "the lot is over")
         if opened.stream is not None:
             opened.stream.end()
 
@@ -362,203 +254,6 @@
             idle += max(0.0, view.limit - busy)
         return int(capacity), int(idle)
 
-    # Actions
-
-    def _run_actions(self, opened: OpenLot, actions: list[Action]) -> None:
-        for action in actions:
-            self._run(action, opened)
-
-    @singledispatchmethod
-    def _run(self, action: Action, opened: OpenLot) -> None:
-        raise TypeError(f"unknown action {type(action).__name__}")
-
-    @_run.register
-    def _dispatch(self, action: DispatchSlot, opened: OpenLot) -> None:
-        excluded: set[UpstreamId] = {
-            opened.requests[request_id][0].view.upstream
-            for request_id in action.running
-            if request_id in opened.requests
-        }
-        request = RouteRequest(
-            opened.rule.service,
-            cost=float(action.expected_tokens),
-            prefix=action.prefix_hash,
-            minimum_version=action.minimum_version,
-            excluded=frozenset(excluded),
-        )
-        link, _ = self.entry.dispatcher.choose(request)
-        if link is None:
-            return
-        dispatch = self._make_dispatch(action, opened)
-        try:
-            pending = self.entry.dispatcher.send(dispatch, link)
-        except BuckthornstileError:
-            return
-        now = self.entry.read_clock()
-        opened.lot.on_dispatched(action.slot, dispatch.request_id, now)
-        opened.requests[dispatch.request_id] = (link, pending)
-        if action.hedge:
-            self.entry.counters.increment(CounterName("lot_hedges"))
-        task = asyncio.create_task(self._follow(opened, link, pending))
-        opened.tasks.add(task)
-        task.add_done_callback(opened.tasks.discard)
-
-    def _make_dispatch(self, action: DispatchSlot, opened: OpenLot) -> Dispatch:
-        specification = opened.specification
-        seed = hash_slot(opened.lot.lot_id, action.slot)
-        body = json.dumps(
-            {"prompt": action.prompt, "max_tokens": action.max_tokens, "seed": seed}
-        )
-        account = self.entry.configuration.current.accounts.get(opened.account)
-        return Dispatch(
-            self.entry.dispatcher.make_id(),
-            opened.account,
-            opened.key_id,
-            self.entry.configuration.current.through,
-            opened.rule.request_class,
-            opened.rule.service,
-            "POST",
-            specification.path,
-            idempotent=True,
-            timeout=action.timeout,
-            body=body.encode(),
-            expected_tokens=action.expected_tokens,
-            lot=opened.lot.lot_id,
-            slot_group=action.slot.group,
-            slot_index=action.slot.index,
-            attach=action.attach,
-            minimum_version=action.minimum_version,
-            weight=1.0 if account is None else account.weight,
-            slack=action.slack,
-        )
-
-    async def _follow(
-        self, opened: OpenLot, link: AgentLink, pending: PendingRequest
-    ) -> None:
-        """Follows one slot's request to its end."""
-        body = bytearray()
-        end: End | None = None
-        try:
-            while end is None:
-                reply = await pending.next()
-                if isinstance(reply, Chunk):
-                    body += reply.data
-                elif not isinstance(reply, Started):
-                    end = reply
-            self._take_result(opened, link, bytes(body), end)
-        except BuckthornstileError as error:
-            self._take_failure(opened, link, pending, error)
-        finally:
-            opened.requests.pop(pending.dispatch.request_id, None)
-            self.entry.dispatcher.settle(pending, link, end)
-            self.wake()
-
-    def _take_result(
-        self, opened: OpenLot, link: AgentLink, body: bytes, end: End
-    ) -> None:
-        if end.verdict is not Verdict.RAN:
-            raise BuckthornstileError(
-                end.code or ErrorCode.INTERNAL,
-                end.message,
-                verdict=end.verdict,
-                retry_after=end.retry_after or None,
-            )
-        self.entry.dispatcher.note_result(link, None)
-        self.entry.histograms.record(
-            Measure.QUEUE_WAIT,
-            end.queue_wait,
-            account=opened.account,
-            request_class=opened.rule.request_class,
-        )
-        now = self.entry.read_clock()
-        opened.lot.on_result(
-            end.request_id, body, end.labels, end.generated_tokens, now
-        )
-
-    def _take_failure(
-        self,
-        opened: OpenLot,
-        link: AgentLink,
-        pending: PendingRequest,
-        error: BuckthornstileError,
-    ) -> None:
-        self.entry.dispatcher.note_result(link, error.code)
-        self.entry.counters.increment(
-            CounterName("lot_failures"), code=error.code.value
-        )
-        opened.lot.on_failure(
-            pending.dispatch.request_id,
-            error.verdict,
-            error.code,
-            self.entry.read_clock(),
-            retry_after=error.retry_after,
-            message=error.message,
-        )
-
-    def _cancel(self, opened: OpenLot, request_id: RequestId, reason: str) -> None:
-        found = opened.requests.get(request_id)
-        if found is None:
-            return
-        link, pending = found
-        link.cancel(
-            pending,
-            BuckthornstileError(
-                ErrorCode.CANCELLED, reason, verdict=Verdict.MAY_HAVE_RUN
-            ),
-        )
-
-    @_run.register
-    def _cancel_slot(self, action: CancelSlot, opened: OpenLot) -> None:
-        self._cancel(opened, action.request_id, action.reason)
-
-    @_run.register
-    def _deliver(self, action: DeliverSample, opened: OpenLot) -> None:
-        if opened.stream is None:
-            return
-        try:
-            line = encode_sample(action.sample)
-        except BuckthornstileError as error:
-            self.entry.count_error(error)
-            opened.lot.on_undeliverable(action.sample.slot)
-            return
-        opened.stream.put(line)
-        age = opened.lot.trainer_version - action.sample.oldest_version
-        self.entry.histograms.record(
-            Measure.SAMPLE_AGE,
-            float(max(age, 0)),
-            account=opened.account,
-            request_class=opened.rule.request_class,
-        )
-
-    @_run.register
-    def _cut(self, action: CutDelivery, opened: OpenLot) -> None:
-        if opened.stream is not None:
-            opened.stream.close()
-
-    @_run.register
-    def _release(self, action: ReleaseSamples, opened: OpenLot) -> None:
-        for link in self.entry.fleet.links.values():
-            if link.view.service == opened.rule.service:
-                link.acknowledge(action.lot, action.slots)
-
-    @_run.register
-    def _complete(self, action: CompleteLot, opened: OpenLot) -> None:
-        if opened.stream is not None:
-            opened.stream.put(encode_line(EndLine(delivered=action.delivered)))
-        self.entry.histograms.record(
-            Measure.TRAINER_IDLE,
-            self.entry.read_clock() - opened.opened_at,
-            account=opened.account,
-            request_class=opened.rule.request_class,
-        )
-
-    @_run.register
-    def _fail(self, action: FailLot, opened: OpenLot) -> None:
-        if opened.stream is not None:
-            line = ErrorLine(code=action.code, message=action.message)
-            opened.stream.put(encode_line(line))
-            opened.stream.end()
-
     def on_configuration(self, configuration: Configuration) -> None:
         """Ends the lots whose trainer's key has been withdrawn."""
         for opened in self.open.values():
@@ -571,7 +266,7 @@
             opened.stream.put(encode_line(line))
             opened.stream.end()
             for request_id in list(opened.requests):
-                self._cancel(opened, request_id, "the key was withdrawn")
+                self.runner.cancel(opened, request_id, "the key was withdrawn")
             opened.lot.deadline = self.entry.read_clock()
 
     def hand_over(self) -> None:
@@ -585,48 +280,6 @@
                 opened.stream.end()
 
 
-def parse_slots(value: object) -> list[Slot]:
-    """Reads a list of ``[group, index]`` pairs.
-
-    Args:
-        value: The decoded JSON value.
-
-    Returns:
-        The slots.
-
-    Raises:
-        BuckthornstileError: With ``LOT_INVALID``.
-
-    Example:
-        >>> parse_slots([[0, 1]])
-        [Slot(group=0, index=1)]
-    """
-    try:
-        return [Slot(group, index) for group, index in _SLOTS.validate_python(value)]
-    except ValidationError as error:
-        raise BuckthornstileError(
-            ErrorCode.LOT_INVALID, "slots must be pairs of group and index"
-        ) from error
-
-
-def hash_slot(lot_id: LotId, slot: Slot) -> int:
-    """Gives a slot's seed, the same on each attempt.
-
-    Args:
-        lot_id: The lot.
-        slot: The slot.
-
-    Returns:
-        A seed below 2**31.
-
-    Example:
-        >>> hash_slot(LotId("l"), Slot(0, 1)) == hash_slot(LotId("l"), Slot(0, 2))
-        False
-    """
-    digest = compute_digest(f"{lot_id}/{slot.group}/{slot.index}".encode())
-    return int.from_bytes(digest[:8], "big") % MAX_SEED
-
-
 def _is_whole(sample: FinishedSample) -> bool:
     return compute_digest(sample.body) == sample.digest
 
--- a/buckthornstile/entry/_status.py
+++ b/buckthornstile/entry/_status.py
@@ -6,7 +6,7 @@
 
 from buckthornstile.entry._changes import is_code_of
 from buckthornstile.entry._links import AgentLink
-from buckthornstile.entry._lots import OpenLot
+from buckthornstile.entry._open_lots import OpenLot
 from buckthornstile.metrics import GaugeName, Gauges, render_metrics
 
 if TYPE_CHECKING:
--- a/buckthornstile/entry/tests/test_lots.py
+++ b/buckthornstile/entry/tests/test_lots.py
@@ -43,6 +43,7 @@
         return LotDesk(
             SimpleNamespace(
                 stopping=False,
+                heartbeat_timeout=3.0,
                 read_clock=self.network.read_clock,
                 settings=SimpleNamespace(max_lots=4, max_lot_samples=100),
                 configuration=self.network.configuration,
