Hold after a pause before the first waiting dispatch starts; split links and messages

Ruled out: the entry (it had closed the silent connection), the VM list. Change: every start first looks how long ago the process last ticked, and holds if that is longer than any tick may take.

--- a/buckthornstile/agent/_daemon.py
+++ b/buckthornstile/agent/_daemon.py
@@ -14,7 +14,7 @@
 from buckthornstile.agent._links import EntryLink, send_heartbeats
 from buckthornstile.agent._orders import OrderDesk
 from buckthornstile.agent._relay import FlushTimer
-from buckthornstile.agent._scheduler import Scheduler
+from buckthornstile.agent._scheduler import PAUSE_SECONDS, Scheduler
 from buckthornstile.agent._weights import WeightFetcher
 from buckthornstile.base import (
     UNKNOWN_VERSION,
@@ -52,8 +52,6 @@
 
 TICK_SECONDS = 0.25
 PROGRESS_SECONDS = 1.0
-PAUSE_SECONDS = 1.5
-HOLD_AFTER_PAUSE_SECONDS = 0.5
 MAX_LOG_LAG_SECONDS = 3.0
 ENTRY_GONE_SECONDS = 15.0
 USAGE_CONFIRM_SECONDS = 3.0
@@ -251,16 +249,16 @@
 
     async def watch_pauses(self) -> None:
         """Notices that this process was paused, and lets it catch up first."""
-        last = self.read_clock()
-        reported_at = last
+        last = reported_at = self.read_clock()
+        self.scheduler.note_tick(last)
         while True:
             await asyncio.sleep(TICK_SECONDS)
             now = self.read_clock()
             if now - last > PAUSE_SECONDS:
                 self.pauses += 1
                 log_change("process.paused", f"it stood still for {now - last:.1f} s")
-                self.scheduler.hold(HOLD_AFTER_PAUSE_SECONDS)
             last = now
+            self.scheduler.note_tick(now)
             self.scheduler.finished.expire(now)
             if now - reported_at >= PROGRESS_SECONDS:
                 self.scheduler.report_progress(now)
--- a/buckthornstile/agent/_scheduler.py
+++ b/buckthornstile/agent/_scheduler.py
@@ -34,6 +34,8 @@
 
 SERVER_ERROR_STATUS = 500
 SPEED_SHARE = 0.1
+PAUSE_SECONDS = 1.5
+HOLD_AFTER_PAUSE_SECONDS = 0.5
 
 
 @dataclass(slots=True)
@@ -92,6 +94,7 @@
         self._open: dict[RequestId, AgentRequest] = {}
         self._running: set[RequestId] = set()
         self._held_until = float("-inf")
+        self._ticked_at = float("inf")
 
     @property
     def running_count(self) -> int:
@@ -185,9 +188,23 @@
         self._held_until = self.read_clock() + seconds
         asyncio.get_running_loop().call_later(seconds, self.pump)
 
+    def note_tick(self, now: float) -> None:
+        """Notes that the process runs; a long gap means that it was paused.
+
+        Args:
+            now: The clock reading, in seconds.
+        """
+        if now - self._ticked_at > PAUSE_SECONDS:
+            self.hold(HOLD_AFTER_PAUSE_SECONDS)
+        self._ticked_at = now
+
     def pump(self) -> None:
         """Starts waiting requests as far as the limit allows."""
         now = self.read_clock()
+        if now - self._ticked_at > PAUSE_SECONDS:
+            # What waited in sockets is read before the watch of pauses runs.
+            self._ticked_at = now
+            self.hold(HOLD_AFTER_PAUSE_SECONDS)
         if now < self._held_until:
             return
         while self.limit.may_start(len(self._running)):
--- a/buckthornstile/agent/tests/test_agent.py
+++ b/buckthornstile/agent/tests/test_agent.py
@@ -281,6 +281,16 @@
     assert story.one.get_end(request) == (Verdict.NOT_RUN, ErrorCode.DRAINING)
 
 
+def test_what_is_read_before_a_pause_is_noticed_does_not_start_either(story):
+    story.agent.scheduler.note_tick(story.world.clock())
+    story.world.clock.now += 10.0
+    request = story.ask("plain")
+    assert story.list_seen() == []
+    story.run(story.world.drain)
+    story.run(lambda: story.pass_time(0.6))
+    assert story.one.get_end(request) == (Verdict.NOT_RUN, ErrorCode.DRAINING)
+
+
 def test_usage_is_kept_until_its_entry_confirms_or_is_gone(story):
     for _ in range(3):
         story.ask("plain")
--- a/buckthornstile/entry/_fleet.py
+++ b/buckthornstile/entry/_fleet.py
@@ -11,7 +11,9 @@
     UpstreamId,
 )
 from buckthornstile.configuration import Configuration
-from buckthornstile.entry._links import AgentLink, LinkOwner
+from buckthornstile.entry._link_owner import LinkOwner
+from buckthornstile.entry._links import AgentLink
+from buckthornstile.entry._replies import handle_reply
 from buckthornstile.ports import Vm, VmState
 from buckthornstile.routing import (
     Candidate,
@@ -146,7 +148,7 @@
         if link is not None:
             link.stop()
         view = UpstreamView(upstream, vm.service, vm.failure_domain)
-        link = AgentLink(self.owner, vm, view)
+        link = AgentLink(self.owner, vm, view, on_message=handle_reply)
         self.links[upstream] = link
         link.start()
         return link
--- a/buckthornstile/entry/_links.py
+++ b/buckthornstile/entry/_links.py
@@ -2,10 +2,8 @@
 
 import asyncio
 import contextlib
-import ssl
-from collections.abc import Sequence
-from functools import singledispatch
-from typing import Any, Protocol
+from collections.abc import Callable
+from typing import Any
 
 from buckthornstile.base import (
     AccountId,
@@ -17,16 +15,15 @@
     Offset,
     OrderId,
     RequestId,
-    Term,
     Verdict,
 )
+from buckthornstile.entry._link_owner import LinkOwner
 from buckthornstile.entry._outcomes import OpenOutcomes
 from buckthornstile.entry._pending import PendingRequest
 from buckthornstile.ports import Vm, VmState
 from buckthornstile.routing import UpstreamView
 from buckthornstile.wire import (
     AcknowledgeSamples,
-    Answer,
     Cancel,
     Chunk,
     ConfirmUsage,
@@ -36,15 +33,9 @@
     FinishedList,
     FinishedRequest,
     FinishedSample,
-    Goodbye,
-    Heartbeat,
-    Identity,
     Message,
     Order,
     OrderResult,
-    Relay,
-    RelayedRecord,
-    RelayRequest,
     Seal,
     Sealed,
     Slot,
@@ -58,44 +49,6 @@
 SEAL_TIMEOUT_SECONDS = 1.5
 
 
-class LinkOwner(Protocol):
-    """What a link needs of its entry."""
-
-    identity: Identity
-    secret: str
-    connect_timeout: float
-    heartbeat_timeout: float
-    ssl_context: ssl.SSLContext | None
-
-    def read_clock(self) -> float:
-        """Gives the time, in seconds."""
-        ...
-
-    def make_heartbeat(self) -> Heartbeat:
-        """Makes the entry's heartbeat."""
-        ...
-
-    def get_configuration_offset(self) -> Offset:
-        """Gives the offset of the configuration in force here."""
-        ...
-
-    def get_relay(self, after: Offset) -> Sequence[RelayedRecord]:
-        """Gives the configuration records after an offset."""
-        ...
-
-    def merge_relay(self, records: Sequence[RelayedRecord]) -> Offset | None:
-        """Takes in configuration records."""
-        ...
-
-    def on_link_change(self, link: "AgentLink") -> None:
-        """Hears that a link came up or went down."""
-        ...
-
-    def note_term(self, term: Term) -> None:
-        """Hears a term that the agent knows."""
-        ...
-
-
 class AgentLink:
     """Keeps a connection to one agent, and knows what is open over it.
 
@@ -103,12 +56,21 @@
         owner: The entry.
         vm: Where the agent is.
         view: What the entry knows of the upstream; kept up to date here.
+        on_message: Does what a message of the agent asks for.
     """
 
-    def __init__(self, owner: LinkOwner, vm: Vm, view: UpstreamView) -> None:
+    def __init__(
+        self,
+        owner: LinkOwner,
+        vm: Vm,
+        view: UpstreamView,
+        *,
+        on_message: Callable[[Message, "AgentLink"], None],
+    ) -> None:
         self.owner = owner
         self.vm = vm
         self.view = view
+        self.on_message = on_message
         self.connection: Connection | None = None
         self.incarnation = Incarnation("")
         self.connects = 0
@@ -207,7 +169,7 @@
         self.owner.on_link_change(self)
         try:
             while True:
-                handle_reply(await connection.receive(), self)
+                self.on_message(await connection.receive(), self)
         except BuckthornstileError as error:
             self.last_error = error.code
         finally:
@@ -426,81 +388,3 @@
     future = futures.get(key)
     if future is not None and not future.done():
         future.set_result(value)
-
-
-@singledispatch
-def handle_reply(message: Message, link: AgentLink) -> None:
-    """Does what an agent's message asks for.
-
-    Args:
-        message: The message.
-        link: Where it came from.
-
-    Raises:
-        BuckthornstileError: With ``FRAME_MALFORMED`` for a message that no
-            agent sends.
-    """
-    raise BuckthornstileError(
-        ErrorCode.FRAME_MALFORMED, f"an agent sent a {type(message).__name__}"
-    )
-
-
-@handle_reply.register(Started)
-@handle_reply.register(Chunk)
-@handle_reply.register(End)
-def _(message: Started | Chunk | End, link: AgentLink) -> None:
-    link.deliver(message)
-
-
-@handle_reply.register
-def _(message: Answer, link: AgentLink) -> None:
-    for reply in message.split():
-        link.deliver(reply)
-
-
-@handle_reply.register
-def _(message: Heartbeat, link: AgentLink) -> None:
-    link.heard_at = link.owner.read_clock()
-    link.view.on_heartbeat(message, link.heard_at)
-    link.agent_offset = message.configuration_offset
-    link.owner.note_term(message.term)
-    known = link.owner.get_configuration_offset()
-    if message.configuration_offset > known:
-        link.send(RelayRequest(known))
-    elif message.configuration_offset < known:
-        link.send(Relay(tuple(link.owner.get_relay(message.configuration_offset))))
-
-
-@handle_reply.register
-def _(message: Relay, link: AgentLink) -> None:
-    missing = link.owner.merge_relay(message.records)
-    if missing is not None:
-        link.send(RelayRequest(missing))
-
-
-@handle_reply.register
-def _(message: RelayRequest, link: AgentLink) -> None:
-    records = tuple(link.owner.get_relay(message.first))
-    if records:
-        link.send(Relay(records))
-
-
-@handle_reply.register
-def _(message: Goodbye, link: AgentLink) -> None:
-    link.said_goodbye = True
-    link.update_leaving()
-
-
-@handle_reply.register
-def _(message: Sealed, link: AgentLink) -> None:
-    link.on_sealed(message)
-
-
-@handle_reply.register
-def _(message: OrderResult, link: AgentLink) -> None:
-    link.on_order_result(message)
-
-
-@handle_reply.register
-def _(message: FinishedList, link: AgentLink) -> None:
-    link.on_finished_list(message)
--- a/buckthornstile/wire/_codec.py
+++ b/buckthornstile/wire/_codec.py
@@ -15,7 +15,6 @@
 import capnp
 
 from buckthornstile.base import BuckthornstileError, ErrorCode
-from buckthornstile.wire import _messages
 from buckthornstile.wire._messages import Message
 
 capnp.remove_import_hook()
@@ -90,7 +89,7 @@
     """
 
     def __init__(self, kind: type) -> None:
-        hints = typing.get_type_hints(kind, vars(_messages))
+        hints = typing.get_type_hints(kind)
         self.kind = kind
         self.fields = tuple(
             _make_field_codec(field, hints[field.name])
@@ -142,7 +141,8 @@
         A Cap'n Proto message, without the frame's length.
 
     Example:
-        >>> data = encode_message(_messages.Goodbye(reason="stop"))
+        >>> from buckthornstile.wire import Goodbye
+        >>> data = encode_message(Goodbye(reason="stop"))
         >>> decode_message(data)
         Goodbye(reason='stop')
     """
--- a/buckthornstile/wire/_messages.py
+++ b/buckthornstile/wire/_messages.py
@@ -4,457 +4,43 @@
 since the clocks of two VMs do not agree.
 """
 
-from dataclasses import dataclass
-
-from buckthornstile.base import (
-    NO_OFFSET,
-    NO_TERM,
-    UNKNOWN_VERSION,
-    AccountId,
-    ErrorCode,
-    FailureDomain,
-    IdempotencyKey,
-    Incarnation,
-    KeyId,
-    LotId,
-    Offset,
-    OrderId,
-    ProcessName,
-    RequestClass,
-    RequestId,
-    Role,
-    ServiceName,
-    Term,
-    UpstreamId,
-    Verdict,
-    WeightVersion,
+from buckthornstile.wire._call_messages import (
+    Answer,
+    Cancel,
+    Chunk,
+    Dispatch,
+    End,
+    Seal,
+    Sealed,
+    Started,
+)
+from buckthornstile.wire._order_messages import (
+    Order,
+    OrderResult,
+    WeightChunk,
+    WeightRequest,
+)
+from buckthornstile.wire._peer_messages import (
+    Challenge,
+    Goodbye,
+    Heartbeat,
+    Hello,
+    Relay,
+    RelayRequest,
+    Welcome,
+)
+from buckthornstile.wire._sample_messages import (
+    AcknowledgeSamples,
+    ConfirmUsage,
+    FinishedList,
+    FinishedRequest,
+    FinishedSample,
+)
+from buckthornstile.wire._values import (
+    RelayedRecord,
+    Slot,
+    TokenRange,
 )
-
-
-@dataclass(frozen=True, slots=True)
-class TokenRange:
-    """Tokens ``first`` to ``last``, inclusive, made by one weight version."""
-
-    first: int
-    last: int
-    version: WeightVersion
-
-
-@dataclass(frozen=True, slots=True)
-class RelayedRecord:
-    """A record of the log, passed on between processes."""
-
-    offset: Offset
-    data: bytes
-
-
-@dataclass(frozen=True, slots=True, order=True)
-class Slot:
-    """One wanted sample of a lot."""
-
-    group: int
-    index: int
-
-
-@dataclass(frozen=True, slots=True)
-class Challenge:
-    """The listener's first message: a nonce to prove the secret over."""
-
-    nonce: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class Hello:
-    """The dialler's identity and its proof of the deployment secret."""
-
-    process: ProcessName
-    role: Role
-    incarnation: Incarnation
-    failure_domain: FailureDomain
-    nonce: bytes
-    proof: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class Welcome:
-    """The listener's identity and its proof of the deployment secret."""
-
-    process: ProcessName
-    role: Role
-    incarnation: Incarnation
-    failure_domain: FailureDomain
-    upstream: UpstreamId
-    service: ServiceName
-    proof: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class Dispatch:
-    """A request on its way from an entry to an agent; it holds no key.
-
-    Args:
-        request_id: The entry's incarnation and counter.
-        account: The client account that the key stands for.
-        key_id: The key's public id, or empty for an open route.
-        configuration_offset: How far the entry's configuration has been read.
-        request_class: Who waits on it.
-        idempotency_key: The caller's name for the call, or empty.
-        first_attempt_age: Seconds since the caller's first attempt.
-        attempt: The caller's attempt, from 1.
-        idempotent: Whether it may be repeated.
-        timeout: Seconds until the caller's deadline.
-        service: The service that it is for.
-        method: The HTTP method.
-        path: The path at the upstream.
-        content_type: The body's media type.
-        body: The body.
-        stream: Whether the answer comes as server-sent events.
-        expected_tokens: The work that it is likely to take, in tokens.
-        lot: The trainer's lot, or empty.
-        slot_group: The lot's group.
-        slot_index: The sample within the group.
-        attach: The trainer's attach number.
-        minimum_version: The oldest weights that may make the sample.
-        weight: The client account's share weight.
-        slack: For a lot's sample, seconds that the lot can spare.
-        home_stable_for: Seconds for which the upstreams that may hold a record
-            of the idempotency key have been the same, as the entry sees it.
-    """
-
-    request_id: RequestId
-    account: AccountId
-    key_id: KeyId
-    configuration_offset: Offset
-    request_class: RequestClass
-    service: ServiceName
-    method: str
-    path: str
-    idempotency_key: IdempotencyKey = IdempotencyKey("")
-    first_attempt_age: float = 0.0
-    attempt: int = 1
-    idempotent: bool = False
-    timeout: float = 60.0
-    content_type: str = "application/json"
-    body: bytes = b""
-    stream: bool = False
-    expected_tokens: int = 0
-    lot: LotId = LotId("")
-    slot_group: int = 0
-    slot_index: int = 0
-    attach: int = 0
-    minimum_version: WeightVersion = UNKNOWN_VERSION
-    weight: float = 1.0
-    slack: float = 0.0
-    home_stable_for: float = 0.0
-
-
-@dataclass(frozen=True, slots=True)
-class Started:
-    """The head of an answer."""
-
-    request_id: RequestId
-    status: int
-    content_type: str
-
-
-@dataclass(frozen=True, slots=True)
-class Chunk:
-    """Some bytes of an answer; ``sequence`` counts from 0."""
-
-    request_id: RequestId
-    sequence: int
-    data: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class End:
-    """The one explicit end of a request.
-
-    Args:
-        request_id: The request.
-        verdict: Whether it may have run; ``RAN`` means that the answer is whole.
-        code: Why it failed, or None.
-        message: One sentence for a person.
-        length: The answer's whole length, in bytes.
-        digest: BLAKE2b-128 of the answer.
-        labels: Which weight versions made which tokens.
-        prompt_tokens: Tokens read.
-        generated_tokens: Tokens made.
-        retry_after: Seconds after which a retry may succeed; 0 for unknown.
-        queue_wait: Seconds that it waited in the agent's queue.
-        replayed: Whether another request made this answer, and was counted.
-    """
-
-    request_id: RequestId
-    verdict: Verdict
-    code: ErrorCode | None = None
-    message: str = ""
-    length: int = 0
-    digest: bytes = b""
-    labels: tuple[TokenRange, ...] = ()
-    prompt_tokens: int = 0
-    generated_tokens: int = 0
-    retry_after: float = 0.0
-    queue_wait: float = 0.0
-    replayed: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class Answer:
-    """A whole answer in one message, in place of head, chunks and end.
-
-    Args:
-        request_id: The request.
-        status: The HTTP status.
-        content_type: The body's media type.
-        body: The whole body.
-        digest: BLAKE2b-128 of the body, taken where the upstream's answer ended.
-        labels: Which weight versions made which tokens.
-        prompt_tokens: Tokens read.
-        generated_tokens: Tokens made.
-        queue_wait: Seconds that it waited in the agent's queue.
-        replayed: Whether another request made this answer, and was counted.
-    """
-
-    request_id: RequestId
-    status: int
-    content_type: str
-    body: bytes
-    digest: bytes
-    labels: tuple[TokenRange, ...] = ()
-    prompt_tokens: int = 0
-    generated_tokens: int = 0
-    queue_wait: float = 0.0
-    replayed: bool = False
-
-    def split(self) -> tuple[Started, Chunk, End]:
-        """Gives the messages that it stands for."""
-        return (
-            Started(self.request_id, self.status, self.content_type),
-            Chunk(self.request_id, 0, self.body),
-            End(
-                self.request_id,
-                Verdict.RAN,
-                length=len(self.body),
-                digest=self.digest,
-                labels=self.labels,
-                prompt_tokens=self.prompt_tokens,
-                generated_tokens=self.generated_tokens,
-                queue_wait=self.queue_wait,
-                replayed=self.replayed,
-            ),
-        )
-
-
-@dataclass(frozen=True, slots=True)
-class Cancel:
-    """The caller has gone, or another attempt has won."""
-
-    request_id: RequestId
-    reason: str = ""
-
-
-@dataclass(frozen=True, slots=True)
-class Seal:
-    """Asks the agent never to start a request that it has not started yet.
-
-    With an idempotency key it concerns every attempt under that key so far,
-    and the request id only names the question.
-    """
-
-    request_id: RequestId
-    idempotency_key: IdempotencyKey = IdempotencyKey("")
-    account: AccountId = AccountId("")
-    first_attempt_age: float = 0.0
-
-
-@dataclass(frozen=True, slots=True)
-class Sealed:
-    """The agent's answer: what has become of the request by now.
-
-    Args:
-        request_id: The request, or the question.
-        verdict: Whether it may have run.
-        is_open: Whether it still runs.
-        is_counted: Whether it ran to its end, and the agent counted its usage.
-        prompt_tokens: Tokens read.
-        generated_tokens: Tokens made.
-    """
-
-    request_id: RequestId
-    verdict: Verdict
-    is_open: bool = False
-    is_counted: bool = False
-    prompt_tokens: int = 0
-    generated_tokens: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class Heartbeat:
-    """Proof of life, load and progress; sent by both ends.
-
-    Args:
-        sequence: Counts this sender's heartbeats.
-        sent_at: The sender's own clock, echoed by nobody; for logs only.
-        configuration_offset: How far the sender's configuration has been read.
-        state: ``serving``, ``draining`` or ``loading``.
-        engine_incarnation: The life of the upstream engine.
-        version: The weights that it serves.
-        limit: Concurrent requests that the agent allows its upstream.
-        running: Requests at the upstream.
-        queued: Requests in the agent's queue.
-        queued_tokens: Their expected work.
-        tokens_per_second: The upstream's recent speed.
-        term: The newest control term that the sender knows.
-        log_lag: Seconds since the sender last stood at the log's end.
-        fetched_version: The newest weights that the agent holds whole.
-        background_tokens: Expected work in the queue that nobody waits on; it is
-            not part of ``queued`` and ``queued_tokens``.
-    """
-
-    sequence: int
-    sent_at: float
-    configuration_offset: Offset
-    state: str = "serving"
-    engine_incarnation: Incarnation = Incarnation("")
-    version: WeightVersion = UNKNOWN_VERSION
-    limit: float = 0.0
-    running: int = 0
-    queued: int = 0
-    queued_tokens: int = 0
-    tokens_per_second: float = 0.0
-    term: Term = NO_TERM
-    log_lag: float = 0.0
-    fetched_version: WeightVersion = UNKNOWN_VERSION
-    background_tokens: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class Relay:
-    """Records of the log that the receiver has not read yet."""
-
-    records: tuple[RelayedRecord, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class RelayRequest:
-    """Asks for the records from an offset on; -1 asks for a snapshot too."""
-
-    first: Offset = NO_OFFSET
-
-
-@dataclass(frozen=True, slots=True)
-class FinishedRequest:
-    """Asks an agent for a lot's finished, unacknowledged samples."""
-
-    lot: LotId
-    attach: int
-
-
-@dataclass(frozen=True, slots=True)
-class FinishedSample:
-    """A finished sample that an agent keeps until it is acknowledged."""
-
-    request_id: RequestId
-    lot: LotId
-    slot_group: int
-    slot_index: int
-    body: bytes
-    digest: bytes
-    labels: tuple[TokenRange, ...] = ()
-    prompt_tokens: int = 0
-    generated_tokens: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class FinishedList:
-    """The answer to :class:`FinishedRequest`."""
-
-    lot: LotId
-    attach: int
-    samples: tuple[FinishedSample, ...] = ()
-
-
-@dataclass(frozen=True, slots=True)
-class AcknowledgeSamples:
-    """The trainer has these samples; the agent may forget them."""
-
-    lot: LotId
-    slots: tuple[Slot, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class ConfirmUsage:
-    """The log holds an entry's usage up to and including this counter."""
-
-    entry: Incarnation
-    through: int
-
-
-@dataclass(frozen=True, slots=True)
-class Order:
-    """An order of the lease holder to an agent.
-
-    Args:
-        order_id: The order's idempotency key.
-        term: The holder's term; an older one than the agent knows is refused.
-        action: ``fetch_version`` or ``load_version``.
-        version: The weights to load.
-        timeout: Seconds within which the agent may still begin.
-        source: The IP number of the agent to fetch the weights from, or empty
-            for the weight store.
-        source_port: That agent's port.
-    """
-
-    order_id: OrderId
-    term: Term
-    action: str
-    version: WeightVersion = UNKNOWN_VERSION
-    timeout: float = 1.0
-    source: str = ""
-    source_port: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class OrderResult:
-    """What became of an order."""
-
-    order_id: OrderId
-    term: Term
-    accepted: bool
-    code: ErrorCode | None = None
-    message: str = ""
-
-
-@dataclass(frozen=True, slots=True)
-class WeightRequest:
-    """Asks another agent for one chunk of weights.
-
-    Index 0 is the manifest's: its data are the digests, one a line, behind the
-    bytes of a chunk. Chunk ``n`` has index ``n + 1``.
-    """
-
-    version: WeightVersion
-    index: int
-
-
-@dataclass(frozen=True, slots=True)
-class WeightChunk:
-    """One chunk of weights, or a code if the agent does not have it."""
-
-    version: WeightVersion
-    index: int
-    chunk_count: int = 0
-    data: bytes = b""
-    code: ErrorCode | None = None
-
-
-@dataclass(frozen=True, slots=True)
-class Goodbye:
-    """The sender stops: no new work, please; open requests go on."""
-
-    reason: str = ""
-
 
 Message = (
     Challenge
@@ -481,3 +67,34 @@
     | WeightChunk
     | Goodbye
 )
+
+__all__ = [
+    "AcknowledgeSamples",
+    "Answer",
+    "Cancel",
+    "Challenge",
+    "Chunk",
+    "ConfirmUsage",
+    "Dispatch",
+    "End",
+    "FinishedList",
+    "FinishedRequest",
+    "FinishedSample",
+    "Goodbye",
+    "Heartbeat",
+    "Hello",
+    "Message",
+    "Order",
+    "OrderResult",
+    "Relay",
+    "RelayRequest",
+    "RelayedRecord",
+    "Seal",
+    "Sealed",
+    "Slot",
+    "Started",
+    "TokenRange",
+    "WeightChunk",
+    "WeightRequest",
+    "Welcome",
+]
