Let the demo be interrupted also where a shell had it ignore SIGINT

Cause: a process that a shell starts in the background inherits an ignored SIGINT; the demo turned SIGTERM into SIGINT, so both were ignored and it ran to its end. Ruled out: the load of two suites at once (the same tests pass beside it when SIGINT is not ignored). Change: the demo sets its own handler.

--- a/examples/demo.py
+++ b/examples/demo.py
@@ -333,6 +333,8 @@
         The exit status.
     """
     report = Report()
+    # A shell that starts the demo in the background has it ignore SIGINT.
+    signal.signal(signal.SIGINT, signal.default_int_handler)
     signal.signal(signal.SIGTERM, lambda *_: signal.raise_signal(signal.SIGINT))
     try:
         run_demo(report)
