Call one pause check and one digest; drop an unused alias

Behaviour is the same. Left: client/_events.py makes its own running digest; LivenessTable, choose_home and PrefixIndex have no caller in the daemons; rendezvous hashing stands in routing, lease and weights with different hashes.

--- a/buckthornstile/agent/_scheduler.py
+++ b/buckthornstile/agent/_scheduler.py
@@ -203,8 +203,7 @@
         now = self.read_clock()
         if now - self._ticked_at > PAUSE_SECONDS:
             # What waited in sockets is read before the watch of pauses runs.
-            self._ticked_at = now
-            self.hold(HOLD_AFTER_PAUSE_SECONDS)
+            self.note_tick(now)
         if now < self._held_until:
             return
         while self.limit.may_start(len(self._running)):
--- a/buckthornstile/entry/_dispatcher.py
+++ b/buckthornstile/entry/_dispatcher.py
@@ -1,7 +1,7 @@
 """Sends a call to an upstream, and again only where that is safe."""
 
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -439,6 +439,3 @@
                     verdict=reply.verdict,
                     retry_after=reply.retry_after or None,
                 )
-
-
-RunCall = Callable[[Call, AnswerWriter], Awaitable[End]]
--- a/buckthornstile/samples/_lines.py
+++ b/buckthornstile/samples/_lines.py
@@ -1,6 +1,5 @@
 """The lines of a lot's stream from the entry to the trainer, one JSON each."""
 
-import hashlib
 import json
 from functools import singledispatch
 from typing import Annotated, Any
@@ -9,7 +8,7 @@
 
 from buckthornstile.base import BuckthornstileError, ErrorCode, Verdict
 from buckthornstile.samples._actions import Sample
-from buckthornstile.wire import Slot, TokenRange
+from buckthornstile.wire import Slot, TokenRange, compute_digest
 
 _Count = Annotated[int, Field(ge=0)]
 _Label = tuple[_Count, _Count, _Count]
@@ -107,7 +106,7 @@
         >>> digest_body({"a": 1, "b": 2}) == digest_body({"b": 2, "a": 1})
         True
     """
-    return hashlib.blake2b(_encode_canonical(body), digest_size=16).hexdigest()
+    return compute_digest(_encode_canonical(body)).hex()
 
 
 def encode_sample(sample: Sample) -> bytes:
