--- /dev/null
+++ b/buckthornstile/duties/_usage.py
@@ -0,0 +1,99 @@
+"""Counts of requests by window and account, and what is to be sealed."""
+
+from collections.abc import Mapping
+
+from buckthornstile.base import AccountId, ProcessName
+from buckthornstile.duties._lease import SealRecord
+
+KEPT_WINDOWS = 4
+SEAL_MARGIN = 2.2
+"""Seconds after a window's end for its last counts to arrive."""
+
+
+class UsageCounter:
+    """This process's requests, by the window in which they began to run.
+
+    Args:
+        window: Seconds of a window.
+
+    Example:
+        >>> counter = UsageCounter(5.0)
+        >>> counter.count("mill-7", 12.0)
+        >>> counter.get_counts(13.0)
+        {2: {'mill-7': 1}}
+    """
+
+    def __init__(self, window: float) -> None:
+        self.window = window
+        self._counts: dict[int, dict[str, int]] = {}
+
+    def count(self, account: AccountId, wall: float) -> None:
+        """Counts a request that began at a time, in seconds since the epoch."""
+        counts = self._counts.setdefault(int(wall // self.window), {})
+        counts[account] = counts.get(account, 0) + 1
+
+    def get_counts(self, wall: float) -> dict[int, dict[str, int]]:
+        """Gives the counts of the last windows and drops older ones."""
+        oldest = int(wall // self.window) - KEPT_WINDOWS
+        self._counts = {
+            window: counts
+            for window, counts in self._counts.items()
+            if window >= oldest
+        }
+        return {window: dict(counts) for window, counts in self._counts.items()}
+
+
+class UsageTotals:
+    """Sums what all processes counted.
+
+    Args:
+        window: Seconds of a window.
+
+    Example:
+        >>> totals = UsageTotals(5.0)
+        >>> totals.apply("e1", {2: {"mill-7": 1}})
+        >>> totals.apply("e2", {2: {"mill-7": 2}})
+        >>> totals.sum_window(2)
+        {'mill-7': 3}
+    """
+
+    def __init__(self, window: float) -> None:
+        self.window = window
+        self._counts: dict[int, dict[ProcessName, Mapping[str, int]]] = {}
+
+    def apply(
+        self, process: ProcessName, counts: Mapping[int, Mapping[str, int]]
+    ) -> None:
+        """Notes a process's running counts; the newest replace earlier ones."""
+        for window, by_account in counts.items():
+            self._counts.setdefault(window, {})[process] = by_account
+        newest = max(self._counts, default=0)
+        for window in [one for one in self._counts if one < newest - 10]:
+            del self._counts[window]
+
+    def sum_window(self, window: int) -> dict[str, int]:
+        """Sums the counts of a window over all processes."""
+        total: dict[str, int] = {}
+        for counts in self._counts.get(window, {}).values():
+            for account, count in counts.items():
+                total[account] = total.get(account, 0) + count
+        return total
+
+    def find_unsealed(
+        self, seals: Mapping[int, SealRecord], wall: float, due: float
+    ) -> list[int]:
+        """Finds windows that are over, known here and not sealed.
+
+        Args:
+            seals: The windows that are sealed.
+            wall: Seconds since the epoch.
+            due: Seconds after its end for which a report is still worth something.
+        """
+        last = int((wall - SEAL_MARGIN) // self.window) - 1
+        oldest = int((wall - due) // self.window)
+        first = min(self._counts, default=last + 1)
+        return [
+            window
+            for window in range(max(first, oldest), last + 1)
+            if window not in seals
+        ]
--- /dev/null
+++ b/buckthornstile/exchanges/__init__.py
@@ -0,0 +1,9 @@
+"""HTTP exchanges with upstreams and with the platform."""
+
+from buckthornstile.exchanges._exchange import (
+    Answer,
+    ConnectionPool,
+    OutgoingRequest,
+)
+
+__all__ = ["Answer", "ConnectionPool", "OutgoingRequest"]
--- /dev/null
+++ b/buckthornstile/gateway/__init__.py
@@ -0,0 +1,5 @@
+"""The entry process on the users' platform."""
+
+from buckthornstile.gateway._daemon import Gateway, run_gateway
+
+__all__ = ["Gateway", "run_gateway"]
--- /dev/null
+++ b/buckthornstile/gateway/_fleet.py
@@ -0,0 +1,238 @@
+"""What this process has seen of each upstream, and the choice between them."""
+
+from collections import deque
+from collections.abc import Callable, Collection, Iterable
+from dataclasses import dataclass, field
+
+from buckthornstile.base import ServiceName, UpstreamId
+from buckthornstile.calls import UpstreamLoad
+from buckthornstile.routing import compute_score
+from buckthornstile.topology import TopologyView, Upstream
+
+LOAD_LIFETIME = 0.5
+"""Seconds for which an upstream's word on its load counts."""
+FIRST_EJECTION = 0.4
+"""Seconds without new work after one failure; doubles with each further one."""
+LONGEST_EJECTION = 3.0
+"""Seconds; a worker that is back must be found again within a step's deadline."""
+PACE_WEIGHT = 0.2
+"""Weight of the newest time in an upstream's moving average."""
+SLOW_RATIO = 1.8
+"""A pace that many times the median of its peers counts as slow."""
+COLD_WINDOW = 1.05
+"""Seconds over which starts at a cold upstream are counted; one and a margin for
+the difference of delays."""
+
+
+@dataclass(slots=True)
+class Observed:
+    """What this process has seen of one incarnation of an upstream.
+
+    ``pace`` is the moving average of seconds for a unit of work: to the head of a
+    plain answer, or between the events of a stream.
+    """
+
+    born: int
+    open: int = 0
+    load: UpstreamLoad | None = None
+    load_at: float = -1e9
+    own_at_load: int = 0
+    failures: int = 0
+    ejected_until: float = 0.0
+    pace: float | None = None
+    refused_until: float = 0.0
+    version_floor: dict[str, int] = field(default_factory=dict)
+    starts: deque[float] = field(default_factory=deque)
+
+
+class Fleet:
+    """Chooses upstreams by load, pace and recent failures.
+
+    Args:
+        view: The topology in force.
+        clock: Gives the steady time in seconds.
+        count_entries: Gives how many entries may be sending now.
+        name: This process's name, to share a cold upstream's bound.
+        overage: Times a cold upstream's rate that the bound allows.
+        slack: Requests a second that the bound allows beyond it.
+    """
+
+    def __init__(
+        self,
+        view: TopologyView,
+        clock: Callable[[], float],
+        *,
+        count_entries: Callable[[], list[str]],
+        name: str,
+        overage: float = 1.0,
+        slack: float = 0.0,
+    ) -> None:
+        self.view = view
+        self.clock = clock
+        self.count_entries = count_entries
+        self.name = name
+        self.overage = overage
+        self.slack = slack
+        self._observed: dict[UpstreamId, Observed] = {}
+
+    def get(self, upstream: Upstream) -> Observed:
+        """Gives what was seen of an upstream's present incarnation."""
+        seen = self._observed.get(upstream.id)
+        if seen is None or seen.born != upstream.born:
+            seen = self._observed[upstream.id] = Observed(upstream.born)
+        return seen
+
+    def forget_gone(self) -> None:
+        """Drops what was seen of upstreams that are gone."""
+        for name in list(self._observed):
+            if name not in self.view.upstreams and not self._observed[name].open:
+                del self._observed[name]
+
+    def choose(
+        self,
+        service: ServiceName,
+        *,
+        avoided: Collection[UpstreamId] = (),
+        allows: Callable[[Upstream], bool] | None = None,
+        preferred: UpstreamId | None = None,
+    ) -> Upstream | None:
+        """Chooses the upstream that should be the fastest for one more request.
+
+        Args:
+            service: The service.
+            avoided: Upstreams that are taken only if there is no other.
+            allows: Tells whether an upstream may be used at all.
+            preferred: Taken if it has a free place and is not slower than others.
+
+        Returns:
+            An upstream, or None if none may get the request now.
+        """
+        now = self.clock()
+        usable = [
+            one
+            for one in self.view.list_usable(service)
+            if (allows is None or allows(one)) and self.may_start(one, now)
+        ]
+        if not usable:
+            return None
+        median = self.find_median_pace(usable)
+        ranked = sorted(usable, key=lambda one: self._rank(one, now, median, avoided))
+        best = ranked[0]
+        for one in usable:
+            if one.id != preferred or one.id in avoided:
+                continue
+            seen = self.get(one)
+            is_fit = seen.ejected_until <= now and seen.refused_until <= now
+            has_place = self._estimate_load(one, now) < one.slots
+            is_slow = median is not None and (seen.pace or 0) >= SLOW_RATIO * median
+            if is_fit and has_place and not is_slow:
+                return one
+        return best
+
+    def find_median_pace(self, upstreams: Iterable[Upstream]) -> float | None:
+        """Finds the median pace of upstreams that have one."""
+        paces = sorted(
+            pace for one in upstreams if (pace := self.get(one).pace) is not None
+        )
+        return paces[(len(paces) - 1) // 2] if paces else None
+
+    def is_suspect(self, upstream: Upstream) -> bool:
+        """Whether an upstream failed so recently that others are better."""
+        return self.get(upstream).ejected_until > self.clock()
+
+    def _rank(
+        self,
+        upstream: Upstream,
+        now: float,
+        median: float | None,
+        avoided: Collection[UpstreamId],
+    ) -> tuple[int, float, int]:
+        seen = self.get(upstream)
+        penalty = 2 * (upstream.id in avoided) + (seen.ejected_until > now)
+        penalty += seen.refused_until > now
+        pace = seen.pace if seen.pace is not None else median
+        slowness = max(1.0, pace / median) if pace and median else 1.0
+        load = (self._estimate_load(upstream, now) + 1) / max(1, upstream.slots)
+        tie = compute_score(self.name, upstream.id)
+        return (penalty, round(load * slowness, 3), tie)
+
+    def _estimate_load(self, upstream: Upstream, now: float) -> float:
+        seen = self.get(upstream)
+        if seen.load is None or now - seen.load_at > LOAD_LIFETIME:
+            return seen.open
+        others = seen.load.running + seen.load.waiting - seen.own_at_load
+        return seen.open + max(0, others)
+
+    # Cold upstreams
+
+    def may_start(self, upstream: Upstream, now: float) -> bool:
+        """Whether this process's share of a cold upstream's bound allows a start."""
+        configuration = self.view.configuration
+        service = configuration and configuration.services.get(upstream.service)
+        if not service or not service.cold_rate:
+            return True
+        if not self.view.is_cold(upstream.id, now):
+            return True
+        starts = self.get(upstream).starts
+        while starts and starts[0] <= now - COLD_WINDOW:
+            starts.popleft()
+        return len(starts) < self._get_cold_share(upstream, service.cold_rate)
+
+    def _get_cold_share(self, upstream: Upstream, rate: float) -> int:
+        entries = self.count_entries()
+        bound = int(rate * self.overage + self.slack)
+        share = bound // max(1, len(entries))
+        if share:
+            return share
+        ranked = sorted(entries, key=lambda name: compute_score(upstream.id, name))
+        return int(self.name in ranked[:bound])
+
+    # What is seen
+
+    def note_start(self, upstream: Upstream) -> None:
+        """Notes that a request is sent."""
+        seen = self.get(upstream)
+        seen.open += 1
+        configuration = self.view.configuration
+        service = configuration and configuration.services.get(upstream.service)
+        if service and service.cold_rate:
+            now = self.clock()
+            starts = seen.starts
+            while starts and starts[0] <= now - COLD_WINDOW:
+                starts.popleft()
+            starts.append(now)
+
+    def note_end(self, upstream: Upstream) -> None:
+        """Notes that a request has ended, however it did."""
+        self.get(upstream).open -= 1
+
+    def note_load(self, upstream: Upstream, load: UpstreamLoad | None) -> None:
+        """Notes what an upstream says of its load."""
+        if load is not None:
+            seen = self.get(upstream)
+            seen.load, seen.load_at = load, self.clock()
+            seen.own_at_load = seen.open
+
+    def note_pace(self, upstream: Upstream, seconds: float) -> None:
+        """Notes how long a unit of work took."""
+        seen = self.get(upstream)
+        if seen.pace is None:
+            seen.pace = seconds
+        else:
+            seen.pace += PACE_WEIGHT * (seconds - seen.pace)
+
+    def note_success(self, upstream: Upstream) -> None:
+        """Notes a whole answer."""
+        seen = self.get(upstream)
+        seen.failures, seen.ejected_until = 0, 0.0
+
+    def note_failure(self, upstream: Upstream) -> None:
+        """Notes an answer that failed or never came."""
+        seen = self.get(upstream)
+        seen.failures = min(seen.failures + 1, 8)
+        seconds = FIRST_EJECTION * 2 ** (seen.failures - 1)
+        seen.ejected_until = self.clock() + min(LONGEST_EJECTION, seconds)
+
+    def note_refusal(self, upstream: Upstream, seconds: float) -> None:
+        """Notes that an upstream had no place."""
+        self.get(upstream).refused_until = self.clock() + seconds
--- /dev/null
+++ b/buckthornstile/gateway/_handlers.py
@@ -0,0 +1,292 @@
+"""Answers clients: calls, batch jobs, their results and bodies."""
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+from dataclasses import dataclass
+from urllib.parse import parse_qs
+
+from buckthornstile.base import (
+    AccountId,
+    BuckthornstileError,
+    ErrorCode,
+    Verdict,
+    get_http_status,
+)
+from buckthornstile.calls import ClientRequest, PlannedCall, Reply
+from buckthornstile.gateway._calls import CallSender
+from buckthornstile.gateway._job_store import JobStore
+from buckthornstile.gateway._watch import Watch
+from buckthornstile.jobs import Job, JobId
+from buckthornstile.logs import log_event
+from buckthornstile.platform import Door, decode_job, find_door, render_results
+from buckthornstile.topology import Account, Route, RouteKind, TopologyView
+
+KEY_BOUND_SHARE = 0.9
+"""Share of the bound on withdrawn keys for which keys are trusted unseen."""
+RETRY_HINT = 0.1
+"""Seconds after which a request that was not run may come again."""
+CATCH_UP_TIME = 0.6
+"""Seconds in which a process makes sure that it knows no such job."""
+STALE_TIME = 1.2
+"""Seconds without the store after which the end of a job's results is not known."""
+DEFAULT_TIME = 10.0
+ANSWER_MARGIN = 0.02
+"""Seconds before the client's deadline at which a request is given up."""
+
+
+@dataclass(frozen=True, slots=True)
+class HandlerTools:
+    """What the handlers use."""
+
+    view: TopologyView
+    watch: Watch
+    sender: CallSender
+    jobs: JobStore
+    clock: Callable[[], float]
+    wall_clock: Callable[[], float]
+    key_bound: float
+    fails_closed: bool
+
+
+class ClientHandlers:
+    """Answers the requests that come through the clients' door."""
+
+    def __init__(self, tools: HandlerTools) -> None:
+        self.tools = tools
+
+    async def handle(self, request: ClientRequest) -> Reply:
+        """Answers one request; failures become an honest status."""
+        try:
+            return await self._dispatch(request)
+        except BuckthornstileError as error:
+            reply = make_error_reply(error)
+            log_event(
+                "request.refused",
+                request=request.id,
+                path=request.path[:60],
+                error=error.code.value,
+                reason=error.message,
+                verdict=error.verdict.value,
+                status=reply.status,
+                store_age=self.tools.watch.operator.get_age(),
+            )
+            return reply
+
+    async def _dispatch(self, request: ClientRequest) -> Reply:
+        door, name = find_door(request.path)
+        if door is Door.JOB:
+            return await self._handle_job(request, JobId(name))
+        if door is Door.ITEM:
+            return await self._read_item(request, JobId(name))
+        route = self._find_route(request)
+        account = self._authenticate(request, route.is_open)
+        if route.kind is RouteKind.ROLLOUT:
+            return await self._submit(request, route, account)
+        return await self._call(request, route, account)
+
+    # Filters
+
+    def _find_route(self, request: ClientRequest) -> Route:
+        if self.tools.view.configuration is None:
+            raise BuckthornstileError(
+                ErrorCode.CONFIGURATION_MISSING,
+                "no configuration is known yet",
+                retry_after=RETRY_HINT,
+            )
+        route = self.tools.view.find_route(request.host, request.path)
+        if route is None or not route.services:
+            raise BuckthornstileError(
+                ErrorCode.ROUTE_UNKNOWN, f"no route for host {request.host!r}"
+            )
+        return route
+
+    def _authenticate(
+        self, request: ClientRequest, is_open: bool = False
+    ) -> Account | None:
+        view = self.tools.view
+        configuration = view.configuration
+        if configuration is None:
+            raise BuckthornstileError(
+                ErrorCode.CONFIGURATION_MISSING,
+                "no configuration is known yet",
+                retry_after=RETRY_HINT,
+            )
+        if is_open or not configuration.accounts:
+            return None
+        age = self.tools.watch.operator.get_age()
+        if self.tools.fails_closed and age > KEY_BOUND_SHARE * self.tools.key_bound:
+            raise BuckthornstileError(
+                ErrorCode.CONFIGURATION_OLD,
+                f"the configuration is {age:.1f} s old, too old to trust a key",
+                retry_after=RETRY_HINT,
+            )
+        if not request.key:
+            raise BuckthornstileError(ErrorCode.KEY_MISSING, "the request has no key")
+        account = view.find_account(request.key)
+        if account is None:
+            raise BuckthornstileError(ErrorCode.KEY_UNKNOWN, "the key is not known")
+        return account
+
+    # Calls
+
+    async def _call(
+        self, request: ClientRequest, route: Route, account: Account | None
+    ) -> Reply:
+        if not request.id:
+            raise BuckthornstileError(ErrorCode.HEADER_INVALID, "the request has no id")
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        left = DEFAULT_TIME if request.time_left is None else request.time_left
+        time = min(left - ANSWER_MARGIN, route.timeout)
+        if time <= 0:
+            raise BuckthornstileError(ErrorCode.DEADLINE_PASSED, "no time is left")
+        planned = PlannedCall(
+            request,
+            route,
+            account.name if account else None,
+            started_at + time,
+        )
+        answer = await self.tools.sender.send(planned)
+        log_event(
+            "call.answered",
+            request=request.id,
+            route=route.name,
+            upstream=answer.upstream,
+            status=answer.head.status,
+            seconds=loop.time() - started_at,
+        )
+        return Reply(answer.head.status, answer.body, answer.head.headers)
+
+    # Batch jobs
+
+    async def _submit(
+        self, request: ClientRequest, route: Route, account: Account | None
+    ) -> Reply:
+        owner = account.name if account else AccountId("")
+        known = self.tools.jobs.table.find(JobId(request.id))
+        if known is not None and known.specification.account == owner:
+            return Reply(202)
+        specification = decode_job(
+            request.id,
+            request.body,
+            account=owner,
+            route=route,
+            submitted_at=self.tools.wall_clock(),
+        )
+        await self.tools.jobs.accept(specification)
+        log_event(
+            "job.accepted",
+            job=specification.id,
+            account=owner,
+            items=len(specification.items),
+            step=specification.step,
+            minimum_version=specification.minimum_version,
+            wanted_groups=specification.wanted_groups,
+        )
+        return Reply(202)
+
+    async def _handle_job(self, request: ClientRequest, job_id: JobId) -> Reply:
+        account = self._authenticate(request)
+        if request.method == "DELETE":
+            return await self._end_job(job_id, account)
+        if request.method != "GET":
+            raise BuckthornstileError(
+                ErrorCode.HEADER_INVALID, f"method {request.method!r} is not allowed"
+            )
+        start = _read_position(request)
+        job = await self._find_job(job_id, account)
+        if start >= len(job.results) and not job.is_finished():
+            await self._wait_for_result(job, start, request.wait)
+        total = len(job.items)
+        if start >= len(job.results) and len(job.results) < total:
+            self._check_fresh(job)
+        body = render_results(job.results, total, start)
+        return Reply(200, body, (("Content-Type", "application/json"),))
+
+    async def _read_item(self, request: ClientRequest, job_id: JobId) -> Reply:
+        account = self._authenticate(request)
+        job = await self._find_job(job_id, account)
+        names = parse_qs(request.query).get("id", [""])
+        for item in job.find_open_items():
+            if item.id == names[0] and not job.ended:
+                return Reply(200, item.body)
+        raise BuckthornstileError(
+            ErrorCode.LOT_UNKNOWN, f"job {job_id!r} has no open item {names[0]!r}"
+        )
+
+    async def _end_job(self, job_id: JobId, account: Account | None) -> Reply:
+        job = await self._find_job(job_id, account)
+        if not job.ended:
+            await self.tools.jobs.end(job_id)
+            log_event("job.ended", job=job_id, listed=len(job.results))
+        return Reply(200)
+
+    async def _find_job(self, job_id: JobId, account: Account | None) -> Job:
+        table = self.tools.jobs.table
+        job = table.find(job_id)
+        if job is None:
+            tail = self.tools.jobs.find_tail(job_id)
+            if not await tail.wait_until_fresh(CATCH_UP_TIME):
+                raise BuckthornstileError(
+                    ErrorCode.PLATFORM_UNAVAILABLE,
+                    f"it is not known whether job {job_id!r} exists",
+                    retry_after=RETRY_HINT,
+                )
+            job = table.find(job_id)
+        owner = account.name if account else AccountId("")
+        if job is None or job.specification.account != owner:
+            raise BuckthornstileError(
+                ErrorCode.LOT_UNKNOWN, f"job {job_id!r} does not exist"
+            )
+        return job
+
+    async def _wait_for_result(self, job: Job, start: int, wait: float) -> None:
+        loop = asyncio.get_running_loop()
+        until = loop.time() + wait
+        while start >= len(job.results) and not job.is_finished():
+            left = until - loop.time()
+            if left <= 0:
+                return
+            changed: asyncio.Future[None] = loop.create_future()
+
+            def wake(changed: "asyncio.Future[None]" = changed) -> None:
+                if not changed.done():
+                    changed.set_result(None)
+
+            job.waiters.append(wake)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(left):
+                    await changed
+
+    def _check_fresh(self, job: Job) -> None:
+        age = self.tools.jobs.tails[job.part].get_age()
+        if age > STALE_TIME:
+            raise BuckthornstileError(
+                ErrorCode.PLATFORM_UNAVAILABLE,
+                f"the results of job {job.id!r} are {age:.1f} s old",
+                retry_after=RETRY_HINT,
+            )
+
+
+def make_error_reply(error: BuckthornstileError) -> Reply:
+    """Makes the answer to a request that failed.
+
+    Statuses that promise that nothing ran are given only with that verdict.
+    """
+    status = get_http_status(error.code)
+    if status >= 500 or status == 429:
+        status = 503 if error.verdict is Verdict.NOT_RUN else status
+        if error.verdict is not Verdict.NOT_RUN and status in (429, 503):
+            status = 502
+    body = error.code.value.encode()
+    return Reply(status, body, (("Content-Type", "text/plain"),), error.retry_after)
+
+
+def _read_position(request: ClientRequest) -> int:
+    value = parse_qs(request.query).get("after", ["0"])[0]
+    if not value.isdigit():
+        raise BuckthornstileError(
+            ErrorCode.HEADER_INVALID, f"position {value[:20]!r} is no number"
+        )
+    return int(value)
--- /dev/null
+++ b/buckthornstile/gateway/_job_owner.py
@@ -0,0 +1,131 @@
+"""Decides which jobs this process runs, and takes over those of the dead."""
+
+import asyncio
+from collections.abc import Callable
+
+from buckthornstile.base import BuckthornstileError, ProcessName
+from buckthornstile.gateway._job_runner import JobRunner, JobTools
+from buckthornstile.gateway._presence import PresenceTable
+from buckthornstile.jobs import Job, JobId
+from buckthornstile.logs import log_event
+from buckthornstile.routing import compute_score
+
+CHECK_PERIOD = 0.15
+"""Seconds between two looks for jobs without a living owner."""
+CLAIM_PERIOD = 1.0
+"""Seconds before a claim whose outcome is not known is made again."""
+DROP_PERIOD = 5.0
+
+
+class JobOwner:
+    """Starts and stops the runners of this process's jobs.
+
+    Args:
+        name: This process's name.
+        tools: What all runners share.
+        presence: Which processes live.
+    """
+
+    def __init__(
+        self,
+        name: ProcessName,
+        tools: JobTools,
+        presence: PresenceTable,
+        *,
+        clock: Callable[[], float],
+        lifetime: float,
+    ) -> None:
+        self.name = name
+        self.tools = tools
+        self.presence = presence
+        self.clock = clock
+        self.lifetime = lifetime
+        self.is_leaving = False
+        self._runners: dict[JobId, JobRunner] = {}
+        self._claimed_at: dict[JobId, float] = {}
+        self._dropped_at = 0.0
+
+    def note_change(self, job: Job) -> None:
+        """Starts or stops a job's runner after a record changed the job."""
+        runner = self._runners.get(job.id)
+        is_mine = job.claim is not None and job.claim.owner == self.name
+        if is_mine and not job.is_finished():
+            assert job.claim is not None
+            if runner is None:
+                self._runners[job.id] = JobRunner(job, self.tools, self._note_end)
+        elif runner is not None and (not is_mine or job.is_finished()):
+            log_event("job.stop", job=job.id, ended=job.ended, owned=is_mine)
+            self._runners.pop(job.id).stop()
+
+    def count_running(self) -> int:
+        """Counts the jobs that this process runs."""
+        return len(self._runners)
+
+    async def run(self) -> None:
+        """Looks for jobs without a living owner until cancelled."""
+        while True:
+            await asyncio.sleep(CHECK_PERIOD)
+            if self.is_leaving or not self.tools.store.is_loaded():
+                continue
+            await self._claim_orphans()
+            await self._drop_expired()
+
+    def _note_end(self, runner: JobRunner) -> None:
+        if self._runners.get(runner.job.id) is runner:
+            del self._runners[runner.job.id]
+
+    async def _claim_orphans(self) -> None:
+        live = self.presence.list_live()
+        if self.name not in live:
+            return
+        now = self.clock()
+        for job in list(self.tools.store.table.jobs.values()):
+            if (
+                not self._is_orphan(job, live)
+                or choose_owner(job.id, live) != self.name
+            ):
+                continue
+            if now - self._claimed_at.get(job.id, -CLAIM_PERIOD) < CLAIM_PERIOD:
+                continue
+            self._claimed_at[job.id] = now
+            previous = job.claim.owner if job.claim else ""
+            log_event("job.claim", job=job.id, previous=previous)
+            try:
+                await self.tools.store.claim(job)
+            except BuckthornstileError as error:
+                log_event("job.claim_failed", job=job.id, reason=error.message)
+
+    def _is_orphan(self, job: Job, live: list[ProcessName]) -> bool:
+        if job.is_finished() or self.clock() - job.started_at > self.lifetime:
+            return False
+        if job.claim is None:
+            return True
+        if job.claim.owner == self.name:
+            return job.id not in self._runners
+        return job.claim.owner not in live
+
+    async def _drop_expired(self) -> None:
+        now = self.clock()
+        if now - self._dropped_at < DROP_PERIOD:
+            return
+        self._dropped_at = now
+        live = self.presence.list_live()
+        for job in self.tools.store.table.list_expired(now, self.lifetime):
+            if choose_owner(job.id, live) != self.name:
+                continue
+            try:
+                await self.tools.store.drop(job)
+            except BuckthornstileError as error:
+                log_event("job.drop_failed", job=job.id, reason=error.message)
+            else:
+                log_event("job.dropped", job=job.id)
+
+
+def choose_owner(job: JobId, live: list[ProcessName]) -> ProcessName | None:
+    """Chooses the one living process that should run a job.
+
+    Example:
+        >>> choose_owner("j", ["a", "b"]) == choose_owner("j", ["b", "a"])
+        True
+    """
+    return max(live, key=lambda name: (compute_score(job, name), name), default=None)
--- /dev/null
+++ b/buckthornstile/gateway/_presence.py
@@ -0,0 +1,106 @@
+"""Which entries live, by the records that they append to the store."""
+
+import json
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+
+from buckthornstile.base import ProcessName
+
+PRESENCE_TOPIC = "presence"
+PRESENCE_PERIOD = 0.45
+"""Seconds between two records of a process."""
+PRESENCE_LIFETIME = 1.7
+"""Seconds without a record after which a process is taken as gone: three records
+may be late and one read slow."""
+COUNT_LIFETIME = 10.0
+"""Seconds for which a silent process still counts where a bound is shared."""
+
+Counts = Mapping[int, Mapping[str, int]]
+
+
+@dataclass(frozen=True, slots=True)
+class PresenceRecord:
+    """What a process says of itself; ``counts`` are requests by window, account."""
+
+    name: ProcessName
+    node: str
+    is_leaving: bool = False
+    counts: Counts = field(default_factory=dict)
+
+    def encode(self) -> bytes:
+        """Encodes the record."""
+        counts = {str(window): dict(one) for window, one in self.counts.items()}
+        return json.dumps([self.name, self.node, self.is_leaving, counts]).encode()
+
+
+def decode_presence(data: bytes) -> PresenceRecord:
+    """Decodes a record.
+
+    Raises:
+        ValueError: It does not have the agreed form.
+    """
+    try:
+        name, node, leaving, counts = json.loads(data)
+        return PresenceRecord(
+            ProcessName(name),
+            node,
+            bool(leaving),
+            {int(window): dict(one) for window, one in counts.items()},
+        )
+    except (TypeError, AttributeError) as error:
+        raise ValueError(f"presence record: {error}") from error
+
+
+@dataclass(slots=True)
+class _Peer:
+    record: PresenceRecord
+    seen_at: float
+
+
+class PresenceTable:
+    """Folds presence records.
+
+    A process whose node has started anew is gone at once. Silence counts only while
+    this process itself can read: after an outage each peer gets its time again.
+
+    Args:
+        clock: Gives the time in seconds.
+
+    Example:
+        >>> PresenceTable(lambda: 0.0).list_live()
+        []
+    """
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self.clock = clock
+        self._peers: dict[ProcessName, _Peer] = {}
+        self._read_at: float | None = None
+
+    def note_read(self) -> None:
+        """Notes that the topic was read to its end."""
+        now = self.clock()
+        if self._read_at is not None and now - self._read_at > PRESENCE_LIFETIME / 2:
+            for peer in self._peers.values():
+                peer.seen_at = max(peer.seen_at, now)
+        self._read_at = now
+
+    def apply(self, record: PresenceRecord) -> None:
+        """Folds a record."""
+        for name, peer in list(self._peers.items()):
+            if peer.record.node == record.node and name != record.name:
+                del self._peers[name]
+        self._peers[record.name] = _Peer(record, self.clock())
+
+    def list_live(self) -> list[ProcessName]:
+        """Lists the processes that live and do not leave."""
+        oldest = self.clock() - PRESENCE_LIFETIME
+        return [
+            name
+            for name, peer in self._peers.items()
+            if peer.seen_at >= oldest and not peer.record.is_leaving
+        ]
+
+    def list_possible(self) -> list[ProcessName]:
+        """Lists the processes that may still be sending."""
+        oldest = self.clock() - COUNT_LIFETIME
+        return [name for name, peer in self._peers.items() if peer.seen_at >= oldest]
--- /dev/null
+++ b/buckthornstile/gateway/_streams.py
@@ -0,0 +1,244 @@
+"""Runs one item of a batch job at one upstream and collects its events."""
+
+import asyncio
+from dataclasses import dataclass, field
+from enum import Enum
+
+from buckthornstile.base import AccountId, BuckthornstileError
+from buckthornstile.calls import StreamEvent, UpstreamCall, UpstreamHead
+from buckthornstile.exchanges import Answer, ConnectionPool
+from buckthornstile.gateway._fleet import Fleet
+from buckthornstile.jobs import JobItem
+from buckthornstile.platform import EventReader, decode_head, encode_call
+from buckthornstile.topology import Upstream
+
+FIRST_EVENT_TIMEOUT = 1.2
+"""Seconds without a first event after which an upstream is taken as silent."""
+EVENT_TIMEOUT = 0.6
+"""Seconds between two events after which an upstream is taken as silent."""
+RUN_TIME = 10.0
+"""Seconds that an upstream may work on one run."""
+REFUSAL_PAUSE = 0.08
+"""Seconds for which an upstream that had no place is avoided."""
+
+
+class RunEnd(Enum):
+    """How a run at an upstream ended."""
+
+    COMPLETE = "complete"
+    REFUSED = "refused"
+    FAILED = "failed"
+    IMPOSSIBLE = "impossible"
+    BROKEN = "broken"
+    SILENT = "silent"
+    TOO_OLD = "too_old"
+
+
+@dataclass(slots=True)
+class Progress:
+    """What an item's runs have made so far."""
+
+    events: list[StreamEvent] = field(default_factory=list)
+
+    def get_last_id(self) -> int | None:
+        """The id of the last whole event."""
+        return self.events[-1].id if self.events else None
+
+    def list_versions(self) -> tuple[int, ...]:
+        """The versions that made the events."""
+        return tuple(sorted({event.version for event in self.events}))
+
+    def render_text(self) -> str:
+        """The text: the data of all events."""
+        return "\n".join(event.data for event in self.events)
+
+
+class StreamRunner:
+    """Runs items at upstreams.
+
+    Args:
+        fleet: What was seen of upstreams.
+        pool: Connections to them.
+    """
+
+    def __init__(self, fleet: Fleet, pool: ConnectionPool) -> None:
+        self.fleet = fleet
+        self.pool = pool
+
+    async def run(
+        self,
+        item: JobItem,
+        upstream: Upstream,
+        progress: Progress,
+        *,
+        host: str,
+        account: AccountId,
+        urgency: int,
+        minimum_version: int,
+        version: int | None,
+    ) -> RunEnd:
+        """Runs an item from where its progress stands.
+
+        Args:
+            item: The item.
+            upstream: Where to run it.
+            progress: What earlier runs made; grows as events arrive.
+            host: The host that its route has.
+            account: The client account that it runs for.
+            urgency: From 0, the most urgent, to 9.
+            minimum_version: Events of older weights are not taken.
+            version: The only version that may run it, or None for any.
+        """
+        call = UpstreamCall(
+            id=item.id,
+            method="POST",
+            host=host,
+            target=item.path,
+            headers=item.headers,
+            body=item.body,
+            upstream=upstream.id,
+            time_left=RUN_TIME,
+            account=account,
+            urgency=urgency,
+            resume_after=progress.get_last_id(),
+            version=version,
+        )
+        run = _Run(self, upstream, progress, minimum_version)
+        return await run.execute(call)
+
+
+class _Run:
+    def __init__(
+        self,
+        runner: StreamRunner,
+        upstream: Upstream,
+        progress: Progress,
+        minimum_version: int,
+    ) -> None:
+        self.runner = runner
+        self.upstream = upstream
+        self.progress = progress
+        self.minimum_version = minimum_version
+        self.head: UpstreamHead | None = None
+        self.reader: EventReader | None = None
+        self.loop = asyncio.get_running_loop()
+        self.active_at = self.loop.time()
+        self.events = 0
+        self.too_old = False
+        self.broken = False
+        self.task: asyncio.Task[Answer] | None = None
+
+    async def execute(self, call: UpstreamCall) -> RunEnd:
+        fleet = self.runner.fleet
+        fleet.note_start(self.upstream)
+        self.task = asyncio.create_task(
+            self.runner.pool.exchange(
+                self.upstream.address,
+                encode_call(call),
+                on_head=self._take_head,
+                on_data=self._take_data,
+            )
+        )
+        try:
+            is_silent = await self._watch()
+            end = self._judge(is_silent)
+        finally:
+            fleet.note_end(self.upstream)
+            if not self.task.done():
+                self.task.cancel()
+                await asyncio.wait({self.task})
+            elif not self.task.cancelled():
+                self.task.exception()
+        return end
+
+    async def _watch(self) -> bool:
+        """Waits for the end; gives whether the upstream fell silent."""
+        assert self.task is not None
+        while True:
+            limit = EVENT_TIMEOUT if self.events else FIRST_EVENT_TIMEOUT
+            left = self.active_at + limit - self.loop.time()
+            if left <= 0:
+                return True
+            done, _ = await asyncio.wait({self.task}, timeout=left)
+            if done:
+                return False
+            if self.too_old or self.broken:
+                return False
+
+    def _take_head(self, answer: Answer) -> None:
+        self.head = decode_head(answer)
+        self.runner.fleet.note_load(self.upstream, self.head.load)
+        if self.head.status != 200 or self.head.is_refusal:
+            return
+        if self.head.version is None or self.head.is_encoded:
+            self._break()
+            return
+        if self.head.version < self.minimum_version:
+            self.too_old = True
+            self._cancel()
+            return
+        self.reader = EventReader(self.head.version, self._take_event)
+
+    def _take_data(self, chunk: bytes) -> None:
+        if self.reader is None or self.broken:
+            return
+        try:
+            self.reader.feed(chunk)
+        except (ValueError, UnicodeDecodeError):
+            self._break()
+
+    def _take_event(self, event: StreamEvent) -> None:
+        last = self.progress.get_last_id()
+        if self.broken or (last is not None and event.id != last + 1):
+            self._break()
+            return
+        now = self.loop.time()
+        if self.events:
+            self.runner.fleet.note_pace(self.upstream, now - self.active_at)
+        self.active_at = now
+        self.events += 1
+        self.progress.events.append(event)
+
+    def _break(self) -> None:
+        self.broken = True
+        self._cancel()
+
+    def _cancel(self) -> None:
+        assert self.task is not None
+        self.task.cancel()
+
+    def _judge(self, is_silent: bool) -> RunEnd:
+        fleet, task = self.runner.fleet, self.task
+        assert task is not None
+        if self.too_old:
+            return RunEnd.TOO_OLD
+        if is_silent:
+            fleet.note_failure(self.upstream)
+            return RunEnd.SILENT
+        error = None if task.cancelled() else task.exception()
+        if task.cancelled() or error is not None or self.broken:
+            fleet.note_failure(self.upstream)
+            if error is not None and not isinstance(error, BuckthornstileError):
+                raise error
+            return RunEnd.BROKEN
+        return self._judge_whole()
+
+    def _judge_whole(self) -> RunEnd:
+        fleet, head = self.runner.fleet, self.head
+        assert head is not None
+        if head.is_refusal:
+            if head.other_upstream not in (None, self.upstream.id):
+                fleet.note_failure(self.upstream)
+            else:
+                fleet.note_refusal(self.upstream, REFUSAL_PAUSE)
+            return RunEnd.REFUSED
+        if head.status == 422:
+            return RunEnd.IMPOSSIBLE
+        if head.status == 500:
+            return RunEnd.FAILED
+        whole = self.reader is not None and self.reader.is_between_events()
+        if head.status != 200 or not whole or not self.progress.events:
+            fleet.note_failure(self.upstream)
+            return RunEnd.BROKEN
+        fleet.note_success(self.upstream)
+        return RunEnd.COMPLETE
--- /dev/null
+++ b/buckthornstile/jobs/__init__.py
@@ -0,0 +1,38 @@
+"""Batch jobs: what is kept of them, and who runs them."""
+
+from buckthornstile.jobs._records import (
+    JobRecord,
+    OwnerClaim,
+    encode_claim,
+    encode_end,
+    encode_result,
+    encode_specification,
+)
+from buckthornstile.jobs._table import Job, JobTable
+from buckthornstile.jobs._types import (
+    ItemId,
+    ItemResult,
+    JobId,
+    JobItem,
+    JobSpecification,
+    ResultState,
+    ScoreCall,
+)
+
+__all__ = [
+    "ItemId",
+    "ItemResult",
+    "Job",
+    "JobId",
+    "JobItem",
+    "JobRecord",
+    "JobSpecification",
+    "JobTable",
+    "OwnerClaim",
+    "ResultState",
+    "ScoreCall",
+    "encode_claim",
+    "encode_end",
+    "encode_result",
+    "encode_specification",
+]
--- /dev/null
+++ b/buckthornstile/jobs/_records.py
@@ -0,0 +1,178 @@
+"""How batch jobs are kept in the store.
+
+A key is ``kind/job[/item][/part.parts]``. A value longer than a record holds is
+split; all parts are appended in one call.
+"""
+
+import json
+import zlib
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from buckthornstile.base import AccountId, ProcessName
+from buckthornstile.jobs._types import (
+    ItemId,
+    ItemResult,
+    JobId,
+    JobItem,
+    JobSpecification,
+    ResultState,
+    ScoreCall,
+)
+from buckthornstile.topology import ModelName
+
+SPECIFICATION, OWNER, RESULT, END = "s", "o", "r", "e"
+KEY_ROOM = 256
+"""Bytes of a record that its key may take."""
+
+
+@dataclass(frozen=True, slots=True)
+class JobRecord:
+    """A key and a value of the topic of batch jobs."""
+
+    key: str
+    value: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerClaim:
+    """Which process runs a batch job, and with which epoch it appends."""
+
+    owner: ProcessName
+    epoch: int
+
+
+@dataclass(frozen=True, slots=True)
+class RecordKey:
+    """A record's key, taken apart."""
+
+    kind: str
+    job: JobId
+    item: ItemId | None
+    part: int
+    parts: int
+
+
+def parse_key(key: str) -> RecordKey:
+    """Takes a record's key apart.
+
+    Raises:
+        ValueError: It is no key of a batch job's record.
+
+    Example:
+        >>> parse_key("r/j1/i1/0.1").item
+        'i1'
+    """
+    words = key.split("/")
+    if len(words) != 4 or words[0] not in (SPECIFICATION, OWNER, RESULT, END):
+        raise ValueError(f"key {key!r} names no record of a batch job")
+    part, _, parts = words[3].partition(".")
+    item = ItemId(words[2]) if words[2] else None
+    return RecordKey(words[0], JobId(words[1]), item, int(part), int(parts))
+
+
+def _split(prefix: str, value: bytes, room: int) -> Iterator[JobRecord]:
+    parts = max(1, -(-len(value) // room))
+    for part in range(parts):
+        piece = value[part * room : (part + 1) * room]
+        yield JobRecord(f"{prefix}/{part}.{parts}", piece)
+
+
+def encode_specification(
+    specification: JobSpecification, max_record_bytes: int
+) -> list[JobRecord]:
+    """Encodes an accepted batch job."""
+    data = {
+        "account": specification.account,
+        "host": specification.host,
+        "prefix": specification.path_prefix,
+        "at": specification.submitted_at,
+        "model": specification.model,
+        "minimum": specification.minimum_version,
+        "wanted": specification.wanted_groups,
+        "step": specification.step,
+        "items": [_encode_item(item) for item in specification.items],
+    }
+    value = zlib.compress(json.dumps(data).encode(), 1)
+    prefix = f"{SPECIFICATION}/{specification.id}/"
+    return list(_split(prefix, value, max_record_bytes - KEY_ROOM))
+
+
+def _encode_item(item: JobItem) -> list[object]:
+    call = item.score_call
+    score = [call.id, call.host, call.path, call.body.hex()] if call else None
+    return [
+        item.id,
+        item.path,
+        list(item.headers),
+        item.body.hex(),
+        item.tokens,
+        item.group,
+        score,
+    ]
+
+
+def decode_specification(job: JobId, value: bytes) -> JobSpecification:
+    """Decodes an accepted batch job."""
+    data = json.loads(zlib.decompress(value))
+    return JobSpecification(
+        id=job,
+        account=AccountId(data["account"]),
+        host=data["host"],
+        path_prefix=data["prefix"],
+        submitted_at=data["at"],
+        model=ModelName(data["model"]) if data["model"] else None,
+        minimum_version=data["minimum"],
+        wanted_groups=data["wanted"],
+        step=data["step"],
+        items=tuple(_decode_item(item) for item in data["items"]),
+    )
+
+
+def _decode_item(data: list) -> JobItem:
+    name, path, headers, body, tokens, group, score = data
+    call = None
+    if score:
+        call = ScoreCall(score[0], score[1], score[2], bytes.fromhex(score[3]))
+    return JobItem(
+        id=ItemId(name),
+        path=path,
+        headers=tuple((one, other) for one, other in headers),
+        body=bytes.fromhex(body),
+        tokens=tokens,
+        group=group,
+        score_call=call,
+    )
+
+
+def encode_result(
+    job: JobId, result: ItemResult, max_record_bytes: int
+) -> list[JobRecord]:
+    """Encodes a result."""
+    data = [result.state.value, result.text, list(result.versions), result.score]
+    value = json.dumps(data).encode()
+    prefix = f"{RESULT}/{job}/{result.item}"
+    return list(_split(prefix, value, max_record_bytes - KEY_ROOM))
+
+
+def decode_result(item: ItemId, value: bytes) -> ItemResult:
+    """Decodes a result."""
+    state, text, versions, score = json.loads(value)
+    return ItemResult(item, ResultState(state), text, tuple(versions), score)
+
+
+def encode_claim(job: JobId, claim: OwnerClaim) -> JobRecord:
+    """Encodes who runs a batch job."""
+    value = json.dumps([claim.owner, claim.epoch]).encode()
+    return JobRecord(f"{OWNER}/{job}//0.1", value)
+
+
+def decode_claim(value: bytes) -> OwnerClaim:
+    """Decodes who runs a batch job."""
+    owner, epoch = json.loads(value)
+    return OwnerClaim(ProcessName(owner), epoch)
+
+
+def encode_end(job: JobId) -> JobRecord:
+    """Encodes that a batch job was ended by its client."""
+    return JobRecord(f"{END}/{job}//0.1", b"1")
--- /dev/null
+++ b/buckthornstile/jobs/_table.py
@@ -0,0 +1,217 @@
+"""The fold of batch jobs, the same in every process that reads the same log."""
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+
+from buckthornstile.jobs._records import (
+    END,
+    OWNER,
+    RESULT,
+    OwnerClaim,
+    RecordKey,
+    decode_claim,
+    decode_result,
+    decode_specification,
+    parse_key,
+)
+from buckthornstile.jobs._types import (
+    ItemId,
+    ItemResult,
+    JobId,
+    JobItem,
+    JobSpecification,
+    ResultState,
+)
+
+EXPIRY_MARGIN = 30.0
+"""Seconds beyond a result's promised lifetime after which a job is dropped."""
+
+
+@dataclass(slots=True)
+class Job:
+    """A batch job as folded; ``results`` are in the order of the log.
+
+    ``started_at`` is this process's steady clock at the submission.
+    """
+
+    specification: JobSpecification
+    part: int
+    started_at: float
+    claim: OwnerClaim | None = None
+    claim_offset: int = -1
+    ended: bool = False
+    results: list[ItemResult] = field(default_factory=list)
+    positions: dict[ItemId, int] = field(default_factory=dict)
+    keys: set[str] = field(default_factory=set)
+    items: dict[ItemId, JobItem] = field(default_factory=dict)
+    waiters: list[Callable[[], None]] = field(default_factory=list)
+
+    @property
+    def id(self) -> JobId:
+        """The job's id."""
+        return self.specification.id
+
+    def find_open_items(self) -> Iterator[JobItem]:
+        """Gives the items that are not listed, in the order of submission."""
+        for item in self.specification.items:
+            if item.id not in self.positions:
+                yield item
+
+    def is_finished(self) -> bool:
+        """Whether every item is listed or its client ended the job."""
+        return self.ended or len(self.results) >= len(self.items)
+
+
+@dataclass(slots=True)
+class _Parts:
+    total: int
+    pieces: dict[int, bytes] = field(default_factory=dict)
+
+    def join(self) -> bytes:
+        return b"".join(self.pieces[part] for part in range(self.total))
+
+
+class JobTable:
+    """Folds the records of batch jobs.
+
+    The first specification of an id holds, and the first result of an item; a
+    claim holds if its epoch is the next one.
+
+    Args:
+        on_change: Called with a job after a record changed it.
+
+    Example:
+        >>> JobTable().find("j1") is None
+        True
+    """
+
+    def __init__(self, on_change: Callable[[Job], None] | None = None) -> None:
+        self.jobs: dict[JobId, Job] = {}
+        self.finished_items: dict[ItemId, tuple[JobItem, ItemResult]] = {}
+        self._on_change = on_change or (lambda _: None)
+        self._parts: dict[str, _Parts] = {}
+        self._early: dict[JobId, list[tuple[RecordKey, int, int, str, bytes]]] = {}
+
+    def find(self, job: JobId) -> Job | None:
+        """Finds a job that is still kept."""
+        return self.jobs.get(job)
+
+    def apply(
+        self,
+        part: int,
+        offset: int,
+        key: str,
+        value: bytes | None,
+        now: float,
+        *,
+        wall: float,
+    ) -> None:
+        """Folds one record.
+
+        Args:
+            part: The partition it came from.
+            offset: Its offset there.
+            key: Its key.
+            value: Its value, or None if the key was dropped.
+            now: The steady clock, in seconds.
+            wall: Seconds since the epoch.
+
+        Raises:
+            ValueError: It is no record of a batch job.
+        """
+        parsed = parse_key(key)
+        if value is None:
+            self._drop(parsed, key)
+            return
+        whole = self._join(parsed, key, value)
+        if whole is None:
+            return
+        if parsed.kind == "s":
+            self._apply_specification(parsed, part, key, whole, now, wall)
+            return
+        job = self.jobs.get(parsed.job)
+        if job is None:
+            # Only pages of the newest records come in an order of their own.
+            self._early.setdefault(parsed.job, []).append(
+                (parsed, part, offset, key, whole)
+            )
+            return
+        self._apply_to_job(job, parsed, offset, key, whole)
+
+    def settle(self) -> None:
+        """Forgets early records whose job never came."""
+        self._early.clear()
+
+    def list_expired(self, now: float, lifetime: float) -> list[Job]:
+        """Lists the jobs that nobody may ask for any more."""
+        limit = lifetime + EXPIRY_MARGIN
+        return [job for job in self.jobs.values() if now - job.started_at > limit]
+
+    def _join(self, parsed: RecordKey, key: str, value: bytes) -> bytes | None:
+        if parsed.parts == 1:
+            return value
+        prefix = key.rpartition("/")[0]
+        parts = self._parts.setdefault(prefix, _Parts(parsed.parts))
+        parts.pieces[parsed.part] = value
+        if len(parts.pieces) < parts.total:
+            return None
+        del self._parts[prefix]
+        return parts.join()
+
+    def _apply_specification(
+        self,
+        parsed: RecordKey,
+        part: int,
+        key: str,
+        value: bytes,
+        now: float,
+        wall: float,
+    ) -> None:
+        if parsed.job in self.jobs:
+            return
+        specification = decode_specification(parsed.job, value)
+        age = max(0.0, wall - specification.submitted_at)
+        job = Job(specification, part, now - age)
+        job.items = {item.id: item for item in specification.items}
+        job.keys.add(key)
+        self.jobs[parsed.job] = job
+        early = self._early.pop(parsed.job, [])
+        for one, _, offset, early_key, whole in sorted(early, key=lambda one: one[2]):
+            self._apply_to_job(job, one, offset, early_key, whole)
+        self._notify(job)
+
+    def _apply_to_job(
+        self, job: Job, parsed: RecordKey, offset: int, key: str, value: bytes
+    ) -> None:
+        job.keys.add(key)
+        if parsed.kind == OWNER:
+            claim = decode_claim(value)
+            if offset > job.claim_offset:
+                job.claim, job.claim_offset = claim, offset
+        elif parsed.kind == END:
+            job.ended = True
+        elif parsed.kind == RESULT and parsed.item in job.items:
+            if parsed.item in job.positions:
+                return
+            result = decode_result(parsed.item, value)
+            job.positions[parsed.item] = len(job.results)
+            job.results.append(result)
+            if result.state is ResultState.COMPLETE:
+                self.finished_items[parsed.item] = (job.items[parsed.item], result)
+        self._notify(job)
+
+    def _drop(self, parsed: RecordKey, key: str) -> None:
+        job = self.jobs.get(parsed.job)
+        if job is None:
+            return
+        job.keys.discard(key)
+        if parsed.kind == "s":
+            del self.jobs[parsed.job]
+            for item in job.items:
+                self.finished_items.pop(item, None)
+
+    def _notify(self, job: Job) -> None:
+        waiters, job.waiters = job.waiters, []
+        for wake in waiters:
+            wake()
+        self._on_change(job)
--- /dev/null
+++ b/buckthornstile/jobs/_types.py
@@ -0,0 +1,72 @@
+"""Batch jobs, their items and results."""
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import NewType
+
+from buckthornstile.base import AccountId
+from buckthornstile.topology import ModelName
+
+JobId = NewType("JobId", str)
+ItemId = NewType("ItemId", str)
+
+
+@dataclass(frozen=True, slots=True)
+class ScoreCall:
+    """The request whose signature becomes an item's score."""
+
+    id: str
+    host: str
+    path: str
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class JobItem:
+    """One request of a batch job; ``headers`` go to the upstream as they are."""
+
+    id: ItemId
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    tokens: int
+    group: str = ""
+    score_call: ScoreCall | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class JobSpecification:
+    """A batch job as it was accepted.
+
+    ``wanted_groups`` is how many whole groups its trainer waits for;
+    ``submitted_at`` is seconds since the epoch on the accepting process's clock.
+    """
+
+    id: JobId
+    account: AccountId
+    host: str
+    path_prefix: str
+    submitted_at: float
+    items: tuple[JobItem, ...]
+    model: ModelName | None = None
+    minimum_version: int = 0
+    wanted_groups: int = 0
+    step: int = -1
+
+
+class ResultState(Enum):
+    """How an item ended."""
+
+    COMPLETE = "complete"
+    ABANDONED = "abandoned"
+
+
+@dataclass(frozen=True, slots=True)
+class ItemResult:
+    """What is listed of an item."""
+
+    item: ItemId
+    state: ResultState
+    text: str = ""
+    versions: tuple[int, ...] = ()
+    score: str = ""
--- /dev/null
+++ b/buckthornstile/logs/_event_lines.py
@@ -0,0 +1,101 @@
+"""One structured line for each decision, bounded and without blocking."""
+
+import json
+import os
+import sys
+import time
+from collections.abc import Callable
+
+import logbook
+
+from buckthornstile.base import ProcessName
+
+LINES_PER_SECOND = 150
+"""Lines a second that a process writes; further ones are counted only."""
+BURST_LINES = 600
+MAX_VALUE_LENGTH = 200
+_LOGGER = logbook.Logger("buckthornstile.events")
+
+
+class EventLineHandler(logbook.Handler):
+    """Writes event lines to a descriptor and never waits for its reader.
+
+    Lines beyond the rate, and those that a full pipe does not take, are left out;
+    the next line that is written says how many in ``left_out``.
+
+    Args:
+        process: The name that each line carries.
+        descriptor: Where to write; it is set to not block.
+        clock: Gives the steady time in seconds.
+    """
+
+    def __init__(
+        self,
+        process: ProcessName,
+        *,
+        descriptor: int | None = None,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        super().__init__(level=logbook.DEBUG)
+        self.process = process
+        self.descriptor = sys.stdout.fileno() if descriptor is None else descriptor
+        self.clock = clock
+        self.left_out = 0
+        self._tokens = float(BURST_LINES)
+        self._filled_at = clock()
+        os.set_blocking(self.descriptor, False)
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        """Writes one line, or counts it as left out."""
+        now = self.clock()
+        filled = self._tokens + (now - self._filled_at) * LINES_PER_SECOND
+        self._tokens = min(float(BURST_LINES), filled)
+        self._filled_at = now
+        if self._tokens < 1:
+            self.left_out += 1
+            return
+        fields = {
+            "time": f"{time.time():.3f}",
+            "process": self.process,
+            "event": record.extra["event"],
+            **record.extra["event_fields"],
+        }
+        if self.left_out:
+            fields["left_out"] = self.left_out
+        line = json.dumps(fields, default=str, ensure_ascii=False) + "\n"
+        try:
+            written = os.write(self.descriptor, line.encode())
+        except OSError:
+            self.left_out += 1
+            return
+        self._tokens -= 1
+        # A torn line would hide the next one: end it with that one's own start.
+        self.left_out = 0 if written == len(line.encode()) else 1
+
+
+def log_event(event: str, **fields: object) -> None:
+    """Writes one line about a decision.
+
+    Args:
+        event: What was decided, as a stable dotted name.
+        **fields: The request's id, the inputs with their age or version, and the
+            outcome; never a key.
+
+    Example:
+        >>> log_event("route.refused", request="9c41", reason="no upstream")
+    """
+    shown = {name: _shorten(value) for name, value in fields.items()}
+    _LOGGER.debug("", extra={"event": event, "event_fields": shown})
+
+
+def _shorten(value: object) -> object:
+    if isinstance(value, int | float | bool) or value is None:
+        return round(value, 4) if isinstance(value, float) else value
+    return str(value)[:MAX_VALUE_LENGTH]
+
+
+def set_up_event_lines(process: ProcessName) -> EventLineHandler:
+    """Sends event lines of this process to standard output."""
+    handler = EventLineHandler(process)
+    handler.push_application()
+    return handler
--- a/buckthornstile/platform/__init__.py
+++ b/buckthornstile/platform/__init__.py
@@ -1,8 +1,82 @@
-"""HTTP/JSON adapters of the platform's ports.
+"""All that knows the platform's names, formats and calls.
 
-They translate and decide nothing: another platform needs only these rewritten.
+It translates between them and the product's own types, and decides nothing.
 """
 
+from buckthornstile.platform._duties import DutyClient
 from buckthornstile.platform._factory import make_platform_ports
+from buckthornstile.platform._jobs import decode_job, render_results
+from buckthornstile.platform._names import (
+    CONFIGURATION_KEY,
+    EVACUATION_PREFIX,
+    OPERATOR_TOPIC,
+    UPSTREAM_TOPIC,
+    VERSION_PREFIX,
+)
+from buckthornstile.platform._node_settings import NodeSettings, read_node_settings
+from buckthornstile.platform._operator import (
+    decode_configuration,
+    decode_named_version,
+    decode_upstream,
+)
+from buckthornstile.platform._requests import (
+    Door,
+    decode_request,
+    encode_reply,
+    find_door,
+)
+from buckthornstile.platform._store import (
+    AppendRefusedError,
+    HistoryDroppedError,
+    LogSlice,
+    Producer,
+    StoreClient,
+    StoredRecord,
+    decode_keyed_record,
+    encode_keyed_record,
+)
+from buckthornstile.platform._upstreams import (
+    EventReader,
+    decode_head,
+    decode_order_answer,
+    decode_report,
+    encode_call,
+    encode_order,
+    encode_report_call,
+)
 
-__all__ = ["make_platform_ports"]
+__all__ = [
+    "CONFIGURATION_KEY",
+    "EVACUATION_PREFIX",
+    "OPERATOR_TOPIC",
+    "UPSTREAM_TOPIC",
+    "VERSION_PREFIX",
+    "AppendRefusedError",
+    "Door",
+    "DutyClient",
+    "EventReader",
+    "HistoryDroppedError",
+    "LogSlice",
+    "NodeSettings",
+    "Producer",
+    "StoreClient",
+    "StoredRecord",
+    "decode_configuration",
+    "decode_head",
+    "decode_job",
+    "decode_keyed_record",
+    "decode_named_version",
+    "decode_order_answer",
+    "decode_report",
+    "decode_request",
+    "decode_upstream",
+    "encode_call",
+    "encode_keyed_record",
+    "encode_order",
+    "encode_reply",
+    "encode_report_call",
+    "find_door",
+    "make_platform_ports",
+    "read_node_settings",
+    "render_results",
+]
--- /dev/null
+++ b/buckthornstile/platform/_requests.py
@@ -0,0 +1,86 @@
+"""Requests of clients and the answers that they get."""
+
+from enum import Enum
+
+from tornado.httputil import HTTPHeaders
+
+from buckthornstile.calls import ClientRequest, Headers, Reply
+from buckthornstile.platform._names import (
+    CONNECTION_HEADERS,
+    DEADLINE,
+    ITEM_PATH,
+    JOB_PATH,
+    KEY,
+    OWN_HEADERS,
+    READY_PATH,
+    REQUEST_ID,
+    RETRY_AFTER,
+    WAIT,
+)
+
+MAX_WAIT = 1.0
+"""Seconds that a read of results may ask to be held."""
+
+
+class Door(Enum):
+    """What a request asks for."""
+
+    READY = "ready"
+    JOB = "job"
+    ITEM = "item"
+    ROUTE = "route"
+
+
+def find_door(path: str) -> tuple[Door, str]:
+    """Tells what a path asks for, and the id that it names."""
+    if path == READY_PATH:
+        return Door.READY, ""
+    if path.startswith(JOB_PATH):
+        return Door.JOB, path[len(JOB_PATH) :]
+    if path.startswith(ITEM_PATH):
+        return Door.ITEM, path[len(ITEM_PATH) :]
+    return Door.ROUTE, ""
+
+
+def decode_request(
+    method: str, target: str, headers: HTTPHeaders, body: bytes
+) -> ClientRequest:
+    """Decodes a client's request; what the system sets itself is left out."""
+    named_by_connection = {
+        name.strip().lower() for name in headers.get("Connection", "").split(",")
+    }
+    left_out = CONNECTION_HEADERS | OWN_HEADERS | named_by_connection | {"host"}
+    path, _, query = target.partition("?")
+    return ClientRequest(
+        id=headers.get(REQUEST_ID, ""),
+        method=method,
+        host=headers.get("Host", "").partition(":")[0].lower(),
+        path=path,
+        query=query,
+        headers=tuple(
+            (name, value)
+            for name, value in headers.get_all()
+            if name.lower() not in left_out
+        ),
+        body=body,
+        key=headers.get(KEY),
+        time_left=_read_milliseconds(headers.get(DEADLINE)),
+        wait=min(MAX_WAIT, _read_milliseconds(headers.get(WAIT)) or 0.0),
+    )
+
+
+def encode_reply(request_id: str, reply: Reply) -> Headers:
+    """Gives the headers of an answer, without those of the connection."""
+    headers = list(reply.headers)
+    if request_id and not any(one.lower() == "request-id" for one, _ in headers):
+        headers.append((REQUEST_ID, request_id))
+    if reply.retry_after is not None:
+        headers.append((RETRY_AFTER, f"{reply.retry_after:.3f}"))
+    return tuple(headers)
+
+
+def _read_milliseconds(value: str | None) -> float | None:
+    try:
+        return max(0.0, float(value) / 1000) if value else None
+    except ValueError:
+        return None
--- /dev/null
+++ b/buckthornstile/platform/_store.py
@@ -0,0 +1,278 @@
+"""The platform's store: a log of topics and partitions."""
+
+import asyncio
+import base64
+import json
+import struct
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any
+from urllib.parse import urlencode
+
+from buckthornstile.base import BuckthornstileError, ErrorCode, PlatformUnavailableError
+from buckthornstile.exchanges import Answer, ConnectionPool, OutgoingRequest
+
+LENGTH = struct.Struct(">I")
+READ_HEAD = struct.Struct(">QQ")
+CALL_TIMEOUT = 1.0
+"""Seconds for a call that does not wait at the store."""
+READ_KILOBYTES = 1024
+UNAVAILABLE_STATUSES = (429, 503, 507)
+
+
+@dataclass(frozen=True, slots=True)
+class StoredRecord:
+    """A record of a keyed topic; ``value`` is None where the key was dropped."""
+
+    offset: int
+    key: str
+    value: bytes | None
+
+
+@dataclass(frozen=True, slots=True)
+class LogSlice:
+    """Records read from an offset on, and the partition's end."""
+
+    records: tuple[tuple[int, bytes], ...]
+    end: int
+    next_offset: int
+
+
+class HistoryDroppedError(BuckthornstileError):
+    """The offset asked for is no longer kept."""
+
+    def __init__(self, first: int) -> None:
+        super().__init__(ErrorCode.PLATFORM_UNAVAILABLE, "history was dropped")
+        self.first = first
+
+
+class AppendRefusedError(BuckthornstileError):
+    """A condition of an append did not hold; nothing was written.
+
+    Args:
+        reason: ``end``, ``fenced`` or ``sequence``.
+        expected: The end or sequence number that the store has.
+    """
+
+    def __init__(self, reason: str, expected: int) -> None:
+        super().__init__(
+            ErrorCode.CONFIGURATION_CONFLICT, f"append refused: {reason} {expected}"
+        )
+        self.reason = reason
+        self.expected = expected
+
+
+@dataclass(frozen=True, slots=True)
+class Producer:
+    """Who appends to a partition: older epochs are refused, repeats are known."""
+
+    name: str
+    epoch: int
+    sequence: int
+
+
+class StoreClient:
+    """Calls to the store, each made once.
+
+    Args:
+        address: The store, as ``IP:port``.
+
+    Example:
+        >>> StoreClient("127.0.0.1:1").address
+        '127.0.0.1:1'
+    """
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self._pool = ConnectionPool(maximum_idle=16)
+
+    async def append(
+        self,
+        topic: str,
+        part: int,
+        records: Sequence[bytes],
+        *,
+        at: int | None = None,
+        producer: Producer | None = None,
+        timeout: float = CALL_TIMEOUT,
+    ) -> int:
+        """Appends records, all or none.
+
+        Args:
+            topic: The topic.
+            part: Its partition.
+            records: The records.
+            at: Append only if the partition ends at this offset.
+            producer: Who appends, to fence older ones and know repeats.
+            timeout: Seconds to wait.
+
+        Returns:
+            The offset of the first record.
+
+        Raises:
+            AppendRefusedError: A condition does not hold.
+            PlatformUnavailableError: It was refused or got no answer.
+        """
+        query: dict[str, object] = {"topic": topic, "part": part}
+        if at is not None:
+            query["at"] = at
+        if producer is not None:
+            query["producer"] = producer.name
+            query["epoch"] = producer.epoch
+            query["sequence"] = producer.sequence
+        body = b"".join(LENGTH.pack(len(record)) + record for record in records)
+        path = "/-/log-append?" + urlencode(query)
+        answer = await self._call("POST", path, body, timeout)
+        data = _decode_json(answer.body) if answer.body else {}
+        if answer.status == 412:
+            raise AppendRefusedError("end", int(data.get("end", -1)))
+        if answer.status == 409:
+            if data.get("why") == "fenced":
+                raise AppendRefusedError("fenced", -1)
+            raise AppendRefusedError("sequence", _find_sequence(data))
+        _check_status(answer)
+        return int(data["offset"])
+
+    async def read(
+        self,
+        topic: str,
+        part: int,
+        start: int,
+        *,
+        wait: float = 0.0,
+        timeout: float = CALL_TIMEOUT,
+    ) -> LogSlice:
+        """Reads records from an offset on; waits up to ``wait`` seconds for one.
+
+        Raises:
+            HistoryDroppedError: The offset is older than what is kept.
+            PlatformUnavailableError: It was refused or got no answer.
+        """
+        query = {
+            "topic": topic,
+            "part": part,
+            "from": start,
+            "maxKb": READ_KILOBYTES,
+            "waitMs": int(wait * 1000),
+        }
+        path = "/-/log-read?" + urlencode(query)
+        answer = await self._call("GET", path, None, wait + timeout)
+        if answer.status == 410:
+            raise HistoryDroppedError(int(_decode_json(answer.body).get("first", 0)))
+        _check_status(answer)
+        return _decode_slice(bytes(answer.body), start)
+
+    async def read_newest(
+        self, topic: str, part: int, *, timeout: float = CALL_TIMEOUT
+    ) -> tuple[list[StoredRecord], int]:
+        """Reads the newest record of each key, and the end before the first page.
+
+        Pages are no snapshot: reading on from the returned end repeats what
+        changed between them.
+        """
+        records: list[StoredRecord] = []
+        end: int | None = None
+        after: str | None = None
+        while True:
+            query: dict[str, object] = {"topic": topic, "part": part}
+            if after is not None:
+                query["after"] = after
+            path = "/-/log-newest?" + urlencode(query)
+            answer = await self._call("GET", path, None, timeout)
+            _check_status(answer)
+            data = _decode_json(answer.body)
+            for item in data.get("items") or ():
+                value = base64.b64decode(item["value"])
+                records.append(StoredRecord(item["offset"], item["key"], value))
+            if end is None:
+                end = int(data["end"])
+            if not data.get("hasMore") or not records:
+                return records, end
+            after = records[-1].key
+
+    def close(self) -> None:
+        """Closes idle connections."""
+        self._pool.close()
+
+    async def _call(
+        self, method: str, path: str, body: bytes | None, timeout: float
+    ) -> Answer:
+        headers = [("Host", self.address)]
+        request = OutgoingRequest(method, path, headers, body)
+        try:
+            async with asyncio.timeout(timeout):
+                return await self._pool.exchange(self.address, request)
+        except TimeoutError as error:
+            raise PlatformUnavailableError(
+                "the store gave no answer in time"
+            ) from error
+        except BuckthornstileError as error:
+            raise PlatformUnavailableError(
+                f"the store: {error.message}",
+                may_have_taken_effect=error.code is not ErrorCode.UPSTREAM_FAILED
+                or "no connection" not in error.message,
+            ) from error
+
+
+def encode_keyed_record(key: str, value: bytes) -> bytes:
+    """Encodes a record of a keyed topic; an empty value drops the key."""
+    name = key.encode()
+    return bytes([len(name)]) + name + value
+
+
+def decode_keyed_record(offset: int, record: bytes) -> StoredRecord:
+    """Decodes a record of a keyed topic.
+
+    Raises:
+        ValueError: The bytes hold no key.
+    """
+    if not record or len(record) < 1 + record[0]:
+        raise ValueError(f"the record at {offset} holds no key")
+    split = 1 + record[0]
+    value = record[split:]
+    return StoredRecord(offset, record[1:split].decode(), value or None)
+
+
+def _find_sequence(data: dict[str, object]) -> int:
+    for name in ("sequence", "expected", "end"):
+        value = data.get(name)
+        if isinstance(value, int):
+            return value
+    return -1
+
+
+def _check_status(answer: Answer) -> None:
+    if answer.status == 200:
+        return
+    raise PlatformUnavailableError(
+        f"the store answered with status {answer.status}",
+        may_have_taken_effect=answer.status not in UNAVAILABLE_STATUSES,
+    )
+
+
+def _decode_json(body: bytes | bytearray) -> dict[str, Any]:
+    try:
+        data = json.loads(bytes(body))
+    except ValueError as error:
+        raise PlatformUnavailableError("the store's answer is no JSON") from error
+    if not isinstance(data, dict):
+        raise PlatformUnavailableError("the store's answer is no object")
+    return data
+
+
+def _decode_slice(data: bytes, start: int) -> LogSlice:
+    if len(data) < READ_HEAD.size:
+        raise PlatformUnavailableError("the store's answer is too short")
+    end, first = READ_HEAD.unpack_from(data)
+    records = []
+    position = READ_HEAD.size
+    offset = max(start, first)
+    while position + LENGTH.size <= len(data):
+        (length,) = LENGTH.unpack_from(data, position)
+        position += LENGTH.size
+        if position + length > len(data):
+            raise PlatformUnavailableError("the store's answer holds half a record")
+        records.append((offset, data[position : position + length]))
+        position += length
+        offset += 1
+    return LogSlice(tuple(records), end, offset)
--- /dev/null
+++ b/buckthornstile/platform/_upstreams.py
@@ -0,0 +1,203 @@
+"""Calls and orders to upstreams, and their answers."""
+
+import json
+from collections.abc import Callable
+
+from buckthornstile.base import UpstreamId
+from buckthornstile.calls import (
+    EngineReport,
+    LoadMode,
+    OrderAnswer,
+    StreamEvent,
+    UpstreamCall,
+    UpstreamHead,
+    UpstreamLoad,
+    VersionOrder,
+)
+from buckthornstile.exchanges import Answer, OutgoingRequest
+from buckthornstile.platform._names import (
+    ACCOUNT,
+    CONNECTION_HEADERS,
+    DEADLINE,
+    EXPECTED_UPSTREAM,
+    EXPECTED_VERSION,
+    LOAD,
+    NOT_RUN,
+    ORDER_PATH,
+    REPORT_PATH,
+    REQUEST_ID,
+    RESUME_AFTER,
+    SIGNATURE,
+    UPSTREAM_ID,
+    URGENCY,
+    VERSIONS,
+)
+from buckthornstile.topology import ModelName
+
+OTHER_UPSTREAM_STATUS = 421
+MODES = {LoadMode.FINISH_FIRST: "wait", LoadMode.CONTINUE: "continue"}
+ORDER_ANSWERS = {
+    202: OrderAnswer.ACCEPTED,
+    200: OrderAnswer.ALREADY_HOLDS,
+    409: OrderAnswer.CONFLICT,
+    421: OrderAnswer.OTHER_UPSTREAM,
+}
+
+
+def encode_call(call: UpstreamCall) -> OutgoingRequest:
+    """Encodes a call; only the upstream it is meant for will run it."""
+    headers = [("Host", call.host)]
+    headers += [one for one in call.headers if one[0].lower() != "request-id"]
+    headers += [
+        (REQUEST_ID, call.id),
+        (DEADLINE, str(max(1, int(call.time_left * 1000)))),
+        (EXPECTED_UPSTREAM, call.upstream),
+    ]
+    if call.account is not None:
+        headers.append((ACCOUNT, call.account))
+    if call.urgency is not None:
+        headers.append((URGENCY, str(call.urgency)))
+    if call.resume_after is not None:
+        headers.append((RESUME_AFTER, str(call.resume_after)))
+    if call.version is not None:
+        headers.append((EXPECTED_VERSION, str(call.version)))
+    body = call.body if call.body or call.method not in ("GET", "HEAD") else None
+    return OutgoingRequest(
+        call.method, call.target, headers, body, echo_header=REQUEST_ID, echo=call.id
+    )
+
+
+def decode_head(answer: Answer) -> UpstreamHead:
+    """Decodes the head of an upstream's answer."""
+    headers = answer.headers
+    kept = tuple(
+        (name, value)
+        for name, value in headers.get_all()
+        if name.lower() not in CONNECTION_HEADERS
+    )
+    is_other = answer.status == OTHER_UPSTREAM_STATUS
+    other = headers.get(UPSTREAM_ID) if is_other else None
+    return UpstreamHead(
+        status=answer.status,
+        headers=kept,
+        is_refusal=NOT_RUN in headers or is_other,
+        is_encoded="Content-Encoding" in headers,
+        is_leaving=headers.get("Connection", "").lower() == "close",
+        signature=headers.get(SIGNATURE, ""),
+        load=_decode_load(headers.get(LOAD)),
+        version=_decode_integer(headers.get(VERSIONS)),
+        other_upstream=UpstreamId(other) if other else None,
+    )
+
+
+def encode_order(order: VersionOrder) -> OutgoingRequest:
+    """Encodes an order to load a version."""
+    data = {
+        "operation": "version",
+        "model": order.model,
+        "version": order.version,
+        "mode": MODES[order.mode],
+        "holder": order.holder,
+        "fence": order.term,
+        "precondition": order.expected_orders,
+    }
+    headers = [
+        ("Host", "upstream"),
+        ("Content-Type", "application/json"),
+        (EXPECTED_UPSTREAM, order.upstream),
+    ]
+    return OutgoingRequest("POST", ORDER_PATH, headers, json.dumps(data).encode())
+
+
+def decode_order_answer(answer: Answer) -> OrderAnswer:
+    """Decodes what an upstream says to an order."""
+    return ORDER_ANSWERS.get(answer.status, OrderAnswer.INVALID)
+
+
+def encode_report_call(upstream: UpstreamId) -> OutgoingRequest:
+    """Encodes the question for an engine's own report."""
+    headers = [("Host", "upstream"), (EXPECTED_UPSTREAM, upstream)]
+    return OutgoingRequest("GET", REPORT_PATH, headers)
+
+
+def decode_report(answer: Answer) -> EngineReport:
+    """Decodes an engine's report.
+
+    Raises:
+        ValueError: It is no report.
+    """
+    if answer.status != 200:
+        raise ValueError(f"the report has status {answer.status}")
+    try:
+        data = json.loads(bytes(answer.body))
+        versions = {
+            ModelName(one["name"]): int(one["version"]) for one in data["models"]
+        }
+        # The name says "sequence"; it counts the orders accepted so far.
+        return EngineReport(versions, bool(data["busy"]), int(data["sequence"]))
+    except (KeyError, TypeError) as error:
+        raise ValueError(f"the report lacks {error}") from error
+
+
+class EventReader:
+    r"""Splits a stream into events as its bytes arrive.
+
+    Args:
+        version: The version that the answer's head names.
+        on_event: Called with each whole event.
+
+    Example:
+        >>> events = []
+        >>> reader = EventReader(3, events.append)
+        >>> reader.feed(b"id: 1\ndata: a\n\nweight-versions: 4\nid: 2")
+        >>> reader.feed(b"\ndata: b\n\n")
+        >>> [(event.id, event.data, event.version) for event in events]
+        [(1, 'a', 3), (2, 'b', 4)]
+    """
+
+    def __init__(self, version: int, on_event: Callable[[StreamEvent], None]) -> None:
+        self.version = version
+        self.on_event = on_event
+        self._rest = b""
+
+    def feed(self, chunk: bytes) -> None:
+        """Reads the next bytes.
+
+        Raises:
+            ValueError: They are no events.
+        """
+        blocks = (self._rest + chunk).split(b"\n\n")
+        self._rest = blocks.pop()
+        for block in blocks:
+            self._read_block(block)
+
+    def is_between_events(self) -> bool:
+        """Whether no event is half read."""
+        return not self._rest.strip()
+
+    def _read_block(self, block: bytes) -> None:
+        event_id: int | None = None
+        data: list[str] = []
+        for line in block.decode().split("\n"):
+            name, _, value = line.partition(":")
+            value = value.removeprefix(" ")
+            if name == "id":
+                event_id = int(value)
+            elif name == "data":
+                data.append(value)
+            elif name == VERSIONS.lower():
+                self.version = int(value)
+        if event_id is not None:
+            self.on_event(StreamEvent(event_id, "\n".join(data), self.version))
+
+
+def _decode_load(value: str | None) -> UpstreamLoad | None:
+    try:
+        running, waiting, slots = (int(one) for one in (value or "").split(","))
+    except ValueError:
+        return None
+    return UpstreamLoad(running, waiting, slots)
+
+
+def _decode_integer(value: str | None) -> int | None:
+    return int(value) if value and value.isdigit() else None
--- /dev/null
+++ b/buckthornstile/topology/__init__.py
@@ -0,0 +1,26 @@
+"""Routes, accounts, services and upstreams that are in force."""
+
+from buckthornstile.topology._types import (
+    Account,
+    ClientLimits,
+    Configuration,
+    ModelName,
+    Route,
+    RouteKind,
+    Service,
+    Upstream,
+)
+from buckthornstile.topology._view import LAPSE_GRACE, TopologyView
+
+__all__ = [
+    "LAPSE_GRACE",
+    "Account",
+    "ClientLimits",
+    "Configuration",
+    "ModelName",
+    "Route",
+    "RouteKind",
+    "Service",
+    "TopologyView",
+    "Upstream",
+]
--- /dev/null
+++ b/buckthornstile/topology/_view.py
@@ -0,0 +1,145 @@
+"""The fold of what operators and upstreams wrote, as one process knows it."""
+
+from collections.abc import Mapping
+
+from buckthornstile.base import AccountId, FailureDomain, ServiceName, UpstreamId
+from buckthornstile.topology._types import (
+    Account,
+    Configuration,
+    ModelName,
+    Route,
+    Upstream,
+)
+
+LAPSE_GRACE = 2.0
+"""Seconds after the store's return within which lapsed entries are back."""
+
+
+class TopologyView:
+    """Configuration, evacuations, named versions and upstreams in force.
+
+    Configuration and named versions only move forward.
+
+    Example:
+        >>> view = TopologyView()
+        >>> view.configuration is None
+        True
+    """
+
+    def __init__(self) -> None:
+        self.configuration: Configuration | None = None
+        self.evacuated: set[FailureDomain] = set()
+        self.named_versions: dict[ModelName, int] = {}
+        self.upstreams: dict[UpstreamId, Upstream] = {}
+        self._lapsing: dict[UpstreamId, float] = {}
+        self._cold_until: dict[UpstreamId, float] = {}
+        self._routes: dict[str, list[Route]] = {}
+        self._accounts: dict[str, Account] = {}
+
+    def apply_configuration(self, configuration: Configuration) -> bool:
+        """Puts a newer configuration in force; an older one changes nothing."""
+        current = self.configuration
+        if current is not None and configuration.version <= current.version:
+            return False
+        self.configuration = configuration
+        self._routes = {}
+        for route in configuration.routes:
+            self._routes.setdefault(route.host, []).append(route)
+        for routes in self._routes.values():
+            routes.sort(key=lambda route: -len(route.path_prefix))
+        self._accounts = {
+            key: account for account in configuration.accounts for key in account.keys
+        }
+        return True
+
+    def apply_evacuation(self, zone: FailureDomain, evacuated: bool) -> None:
+        """Marks a failure domain as evacuated, or as back in use."""
+        if evacuated:
+            self.evacuated.add(zone)
+        else:
+            self.evacuated.discard(zone)
+
+    def replace_evacuations(self, zones: set[FailureDomain]) -> None:
+        """Puts a whole list of evacuated failure domains in force."""
+        self.evacuated = set(zones)
+
+    def apply_named_version(self, model: ModelName, version: int) -> bool:
+        """Notes the version that a trainer named; versions only grow."""
+        if version <= self.named_versions.get(model, 0):
+            return False
+        self.named_versions[model] = version
+        return True
+
+    def apply_upstream(self, upstream: Upstream, now: float) -> None:
+        """Notes what an upstream says of itself."""
+        self._lapsing.pop(upstream.id, None)
+        self.upstreams[upstream.id] = upstream
+        if upstream.cold_remaining > 0:
+            self._cold_until[upstream.id] = now + upstream.cold_remaining
+        else:
+            self._cold_until.pop(upstream.id, None)
+
+    def remove_upstream(self, upstream_id: UpstreamId, *, until: float = 0.0) -> None:
+        """Takes an upstream out.
+
+        Args:
+            upstream_id: The upstream whose entry is gone.
+            until: Keep it in use until this time, for an entry that may have
+                lapsed only because the store was away.
+        """
+        if until and upstream_id in self.upstreams:
+            self._lapsing.setdefault(upstream_id, until)
+            return
+        self._lapsing.pop(upstream_id, None)
+        self._cold_until.pop(upstream_id, None)
+        self.upstreams.pop(upstream_id, None)
+
+    def expire_lapsed(self, now: float) -> list[UpstreamId]:
+        """Takes out lapsed upstreams whose grace has passed, and names them."""
+        gone = [name for name, until in self._lapsing.items() if until <= now]
+        for name in gone:
+            self.remove_upstream(name)
+        return gone
+
+    def replace_upstreams(
+        self, upstreams: Mapping[UpstreamId, Upstream], now: float, *, until: float
+    ) -> None:
+        """Puts a whole list of upstreams in force; missing ones lapse or go."""
+        for name in list(self.upstreams):
+            if name not in upstreams:
+                self.remove_upstream(name, until=until)
+        for upstream in upstreams.values():
+            self.apply_upstream(upstream, now)
+
+    def is_cold(self, upstream_id: UpstreamId, now: float) -> bool:
+        """Whether an upstream is still cold after its start."""
+        return self._cold_until.get(upstream_id, 0.0) > now
+
+    def find_route(self, host: str, path: str) -> Route | None:
+        """Finds the route with the longest prefix that begins the path."""
+        for route in self._routes.get(host, ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
+
+    def find_account(self, key: str) -> Account | None:
+        """Finds the account that holds a key now."""
+        return self._accounts.get(key)
+
+    def find_account_by_name(self, name: AccountId) -> Account | None:
+        """Finds an account by its name."""
+        configuration = self.configuration
+        if configuration is None:
+            return None
+        matches = (one for one in configuration.accounts if one.name == name)
+        return next(matches, None)
+
+    def list_usable(self, service: ServiceName) -> list[Upstream]:
+        """Lists the upstreams of a service that may get new work."""
+        return [
+            upstream
+            for upstream in self.upstreams.values()
+            if upstream.service == service
+            and not upstream.is_draining
+            and upstream.zone not in self.evacuated
+        ]
