Test the gateway against stand-ins of the store and of workers

Found by them, and mended: two silent workers left a call without a third attempt though the route allows it (test_silent_worker_is_hedged failed at 1.5 s). Now each repeatable request is sent again while its route's attempts last, to workers that seem to have a free place.

--- a/buckthornstile/gateway/_calls.py
+++ b/buckthornstile/gateway/_calls.py
@@ -140,7 +140,10 @@
     def _start(self) -> bool:
         fleet = self.sender.fleet
         upstream = fleet.choose(self.service, avoided=self.tried)
-        if upstream is None or (self.running and upstream.id in self.tried):
+        if upstream is None:
+            return False
+        is_hedge = bool(self.running)
+        if is_hedge and (upstream.id in self.tried or not fleet.has_place(upstream)):
             return False
         self.tried.append(upstream.id)
         self.runs += 1
@@ -248,11 +251,7 @@
 
     def _may_repeat(self) -> bool:
         """Whether the request may be sent again beside one that is running."""
-        return (
-            self.hedges
-            and self.runs < self.call.route.max_attempts
-            and len(self.running) < 2
-        )
+        return self.hedges and self.runs < self.call.route.max_attempts
 
     def _get_hedge_delay(self) -> float:
         newest = max(one.started_at for one in self.running.values())
--- a/buckthornstile/gateway/_daemon.py
+++ b/buckthornstile/gateway/_daemon.py
@@ -128,13 +128,24 @@
                 self._announce,
             )
         ]
-        await stop.wait()
-        await self._drain()
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        try:
+            await stop.wait()
+            await self._drain()
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            self.owner.stop_all()
         log_event("process.stop", name=self.name)
 
+    async def kill(self) -> None:
+        """Closes all connections at once."""
+        self.owner.stop_all()
+        await self.client_door.close()
+        await self.ready_door.close()
+        self.pool.close()
+        self.store.close()
+
     # Parts
 
     def _make_upstream_side(self) -> None:
--- a/buckthornstile/gateway/_fleet.py
+++ b/buckthornstile/gateway/_fleet.py
@@ -123,12 +123,16 @@
                 continue
             seen = self.get(one)
             is_fit = seen.ejected_until <= now and seen.refused_until <= now
-            has_place = self._estimate_load(one, now) < one.slots
+            has_place = self.has_place(one)
             is_slow = median is not None and (seen.pace or 0) >= SLOW_RATIO * median
             if is_fit and has_place and not is_slow:
                 return one
         return best
 
+    def has_place(self, upstream: Upstream) -> bool:
+        """Whether an upstream seems to have a free place."""
+        return self._estimate_load(upstream, self.clock()) < upstream.slots
+
     def find_median_pace(self, upstreams: Iterable[Upstream]) -> float | None:
         """Finds the median pace of upstreams that have one."""
         paces = sorted(
--- a/buckthornstile/gateway/_job_owner.py
+++ b/buckthornstile/gateway/_job_owner.py
@@ -61,6 +61,13 @@
         """Counts the jobs that this process runs."""
         return len(self._runners)
 
+    def stop_all(self) -> None:
+        """Stops all runners and starts no more."""
+        self.is_leaving = True
+        for runner in list(self._runners.values()):
+            runner.stop()
+        self._runners.clear()
+
     async def run(self) -> None:
         """Looks for jobs without a living owner until cancelled."""
         while True:
--- /dev/null
+++ b/buckthornstile/gateway/tests/test_gateway.py
@@ -0,0 +1,620 @@
+"""The whole gateway against stand-ins of the store and of workers."""
+
+import asyncio
+import functools
+import json
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import pytest
+
+from buckthornstile.gateway.tests.world import (
+    DESK,
+    HOST,
+    KEY,
+    MODEL,
+    MODELS,
+    OTHER_KEY,
+    World,
+    make_job,
+    make_text,
+)
+
+TEST_TIME = 40.0  # seconds
+
+
+def in_world(
+    test: Callable[[World], Coroutine[Any, Any, None]],
+) -> Callable[[], None]:
+    """Runs a test in a world of its own."""
+
+    @functools.wraps(test)
+    def run() -> None:
+        async def play() -> None:
+            async with World() as world, asyncio.timeout(TEST_TIME):
+                await test(world)
+
+        asyncio.run(play())
+
+    del run.__wrapped__  # type: ignore[attr-defined]
+    return run
+
+
+@in_world
+async def test_call_is_forwarded_whole(world: World) -> None:
+    worker = world.add_worker("w1", DESK)
+    await world.add_gateway("e1")
+    answer = await world.call("e1", "r1", target="/orders/7?x=1")
+    assert answer.status == 200
+    assert bytes(answer.body) == b"answer to hello"
+    assert answer.headers["Server-Stamp"].startswith("w1.")
+    (run,) = worker.list_runs()
+    headers = run["headers"]
+    assert headers["Request-Id"] == "r1"
+    assert headers["Tenant"] == "mill"
+    assert headers["Expect-Instance"] == "w1"
+    assert headers["Host"] == HOST
+    assert 0 < int(headers["Deadline-Ms"]) <= 2000
+    assert KEY not in json.dumps(run)
+
+
+@in_world
+async def test_client_cannot_name_its_own_account(world: World) -> None:
+    worker = world.add_worker("w1", DESK)
+    await world.add_gateway("e1")
+    headers = (("Tenant", "quay"), ("Deadline-Ms", "1000"))
+    assert (await world.call("e1", "r1", headers=headers)).status == 200
+    assert worker.list_runs()[0]["headers"]["Tenant"] == "mill"
+
+
+@in_world
+async def test_refusals_say_why(world: World) -> None:
+    world.add_worker("w1", DESK)
+    await world.add_gateway("e1")
+    assert (await world.call("e1", "r1", key="wrong")).status == 401
+    assert (await world.call("e1", "r2", key=None)).status == 401
+    assert (await world.call("e1", "r3", target="/nowhere/")).status == 404
+    answer = await world.send("e1", "GET", "/-/lots/unknown")
+    assert answer.status == 404
+    assert world.workers["w1"].list_runs() == []
+
+
+@in_world
+async def test_not_ready_and_never_404_before_a_configuration(world: World) -> None:
+    world.log.partitions.clear()
+    gateway = await world.add_gateway("e1", ready=False)
+    await world.wait_for(lambda: gateway.jobs.is_loaded())
+    assert not gateway.is_ready()
+    answer = await world.call("e1", "r1")
+    assert answer.status == 503
+    assert "Retry-After" in answer.headers
+    world.put_configuration()
+    world.add_worker("w1", DESK)
+    await world.wait_for(gateway.is_ready)
+
+
+@pytest.mark.parametrize(
+    "kind", ["full", "error", "reset", "truncate", "crossed", "unsigned"]
+)
+def test_repeatable_call_survives_a_bad_worker(kind: str) -> None:
+    @in_world
+    async def test(world: World) -> None:
+        for name in ("w1", "w2"):
+            worker = world.add_worker(name, DESK)
+            worker.faults.add({"kind": kind, "count": 1})
+        world.add_worker("w3", DESK)
+        await world.add_gateway("e1")
+        for number in range(4):
+            answer = await world.call("e1", f"r{number}")
+            assert answer.status == 200
+            assert bytes(answer.body) == b"answer to hello"
+
+    test()
+
+
+@in_world
+async def test_silent_worker_is_hedged(world: World) -> None:
+    for name in ("w1", "w2"):
+        worker = world.add_worker(name, DESK)
+        worker.faults.add({"kind": "silent", "seconds": 1.5, "count": 1})
+    world.add_worker("w3", DESK)
+    await world.add_gateway("e1")
+    started = asyncio.get_running_loop().time()
+    for number in range(3):
+        assert (await world.call("e1", f"r{number}")).status == 200
+    assert asyncio.get_running_loop().time() - started < 1.4
+
+
+@pytest.mark.parametrize("kind", ["reset", "truncate"])
+def test_call_at_most_once_is_not_repeated(kind: str) -> None:
+    @in_world
+    async def test(world: World) -> None:
+        for name in ("w1", "w2"):
+            worker = world.add_worker(name, DESK)
+            worker.faults.add({"kind": kind})
+        await world.add_gateway("e1")
+        answer = await world.call("e1", "r1", target="/once/1")
+        assert answer.status == 502
+        runs = [run for one in world.workers.values() for run in one.list_runs()]
+        assert len(runs) == 1
+
+    test()
+
+
+@in_world
+async def test_call_at_most_once_moves_on_from_a_refusal(world: World) -> None:
+    for name in ("w1", "w2"):
+        world.add_worker(name, DESK).faults.add({"kind": "full", "count": 1})
+    world.add_worker("w3", DESK)
+    await world.add_gateway("e1")
+    assert (await world.call("e1", "r1", target="/once/1")).status == 200
+
+
+@in_world
+async def test_no_worker_is_a_refusal_with_a_time_to_come_back(world: World) -> None:
+    worker = world.add_worker("w1", DESK)
+    worker.faults.add({"kind": "full"})
+    await world.add_gateway("e1")
+    answer = await world.call("e1", "r1")
+    assert answer.status == 503
+    assert float(answer.headers["Retry-After"]) > 0
+    assert worker.list_runs() == []
+
+
+@in_world
+async def test_client_that_leaves_ends_the_run(world: World) -> None:
+    worker = world.add_worker("w1", DESK, work_seconds=5.0)
+    await world.add_gateway("e1")
+    task = asyncio.create_task(world.call("e1", "r1", target="/once/1"))
+    await world.wait_for(lambda: worker.state.running)
+    task.cancel()
+    closed = world.gateways["e1"]
+    await world.wait_for(lambda: not closed.client_door.open, timeout=0.4)
+
+
+@in_world
+async def test_reused_address_runs_nothing(world: World) -> None:
+    worker = world.add_worker("w1", DESK)
+    await world.add_gateway("e1")
+    assert (await world.call("e1", "r1")).status == 200
+    worker.state.id = "another"
+    answer = await world.call("e1", "r2")
+    assert answer.status == 503
+    assert len(worker.list_runs()) == 1
+
+
+# Batch jobs
+
+
+@in_world
+async def test_job_is_run_scored_and_listed_alike_everywhere(world: World) -> None:
+    world.add_worker("w1", DESK)
+    world.add_worker("m1", MODELS)
+    world.add_worker("m2", MODELS)
+    await world.add_gateway("e1")
+    await world.add_gateway("e2")
+    assert await world.submit("e1", make_job(5), "j1") == 202
+    first = await world.read_all("e1", "j1", 5)
+    second = await world.read_all("e2", "j1", 5)
+    assert first == second
+    for result in first:
+        assert result["state"] == "complete"
+        assert result["text"] == make_text(result["id"])
+        assert result["versions"] == [1]
+        assert result["score"].startswith("w1.")
+    _, data = await world.read_results("e2", "j1", after=3)
+    assert data == {"total": 5, "results": first[3:], "nextToken": 5}
+
+
+@in_world
+async def test_repeated_submission_is_accepted_once(world: World) -> None:
+    world.add_worker("w1", DESK)
+    model = world.add_worker("m1", MODELS)
+    await world.add_gateway("e1")
+    await world.add_gateway("e2")
+    job = make_job(3)
+    statuses = await asyncio.gather(
+        world.submit("e1", job, "j1"), world.submit("e2", job, "j1")
+    )
+    assert statuses == [202, 202]
+    assert await world.submit("e2", job, "j1") == 202
+    results = await world.read_all("e2", "j1", 3)
+    assert len({result["id"] for result in results}) == 3
+    await asyncio.sleep(0.3)
+    assert len(model.list_runs()) == 3
+
+
+@in_world
+async def test_acknowledged_job_survives_all_gateways(world: World) -> None:
+    world.add_worker("w1", DESK)
+    world.add_worker("m1", MODELS, event_seconds=0.4)
+    await world.add_gateway("e1")
+    assert await world.submit("e1", make_job(3), "j1") == 202
+    await world.kill("e1")
+    world.workers["m1"].state.event_seconds = 0.002
+    world.faults.clear()
+    await world.add_gateway("e2")
+    results = await world.read_all("e2", "j1", 3)
+    assert {result["text"] for result in results} == {
+        make_text(f"i{number}") for number in range(3)
+    }
+
+
+@in_world
+async def test_results_keep_their_place_through_an_owners_death(world: World) -> None:
+    world.add_worker("w1", DESK)
+    model = world.add_worker("m1", MODELS)
+    await world.add_gateway("e1")
+    await world.add_gateway("e2")
+    model.faults.add({"kind": "stall", "value": 2, "seconds": 30, "count": 1})
+    assert await world.submit("e1", make_job(6), "j1") == 202
+    before = await world.read_all("e2", "j1", 4)
+    await world.kill("e1")
+    after = await world.read_all("e2", "j1", 6)
+    assert after[: len(before)] == before
+    await world.add_gateway("e3")
+    assert await world.read_all("e3", "j1", 6) == after
+
+
+@in_world
+async def test_former_owner_cannot_list_a_result(world: World) -> None:
+    world.add_worker("w1", DESK)
+    model = world.add_worker("m1", MODELS, event_seconds=0.3)
+    first = await world.add_gateway("e1")
+    second = await world.add_gateway("e2")
+    assert await world.submit("e1", make_job(3), "j1") == 202
+    await world.wait_for(lambda: second.jobs.table.find("j1"))
+    job = second.jobs.table.find("j1")
+    await second.jobs.claim(job)
+    model.state.event_seconds = 0.002
+    results = await world.read_all("e2", "j1", 3)
+    await world.wait_for(lambda: not first.owner.count_running())
+    assert await world.read_all("e1", "j1", 3) == results
+    records = world.log.get("keyed.jobs", job.part).records
+    listed = [record for _, record in records if record[1:].startswith(b"r/j1/")]
+    assert len(listed) == 3
+
+
+@in_world
+async def test_lost_and_late_appends_list_each_result_once(world: World) -> None:
+    world.add_worker("w1", DESK)
+    world.add_worker("m1", MODELS)
+    await world.add_gateway("e1")
+    world.faults.add({"kind": "lose_answer", "target": "append", "count": 4})
+    world.faults.add({"kind": "late", "target": "append", "seconds": 1.2, "count": 3})
+    status = await world.submit("e1", make_job(4), "j1")
+    assert status in (202, 504, 502)
+    assert await world.submit("e1", make_job(4), "j1") == 202
+    results = await world.read_all("e1", "j1", 4)
+    await asyncio.sleep(1.5)
+    _, data = await world.read_results("e1", "j1")
+    assert data["results"] == results
+
+
+@in_world
+async def test_refused_job_never_runs(world: World) -> None:
+    model = world.add_worker("m1", MODELS)
+    await world.add_gateway("e1")
+    world.faults.add({"kind": "busy", "target": "append"})
+    assert await world.submit("e1", make_job(2), "j1") == 503
+    world.faults.clear()
+    await asyncio.sleep(0.6)
+    assert model.list_runs() == []
+    assert (await world.read_results("e1", "j1"))[0] == 404
+
+
+@in_world
+async def test_job_of_unknown_outcome_is_no_promise(world: World) -> None:
+    await world.add_gateway("e1")
+    world.faults.add({"kind": "lose_answer", "target": "append"})
+    assert await world.submit("e1", make_job(2), "j1") in (502, 504)
+
+
+@in_world
+async def test_dropped_history_changes_nothing(world: World) -> None:
+    world.add_worker("w1", DESK)
+    world.add_worker("m1", MODELS)
+    await world.add_gateway("e1")
+    assert await world.submit("e1", make_job(4), "j1") == 202
+    results = await world.read_all("e1", "j1", 4)
+    for partition in world.log.partitions.values():
+        partition.drop_history()
+    await world.add_gateway("e2")
+    assert await world.read_all("e2", "j1", 4) == results
+    assert (await world.call("e2", "r1")).status == 200
+
+
+@in_world
+async def test_ended_job_runs_nothing_more_and_stays_readable(world: World) -> None:
+    world.add_worker("w1", DESK)
+    model = world.add_worker("m1", MODELS, slots=1, event_seconds=0.1)
+    await world.add_gateway("e1")
+    await world.add_gateway("e2")
+    assert await world.submit("e1", make_job(6), "j1") == 202
+    for _ in range(2):
+        answer = await world.send("e2", "DELETE", "/-/lots/j1")
+        assert answer.status == 200
+    owner = world.gateways["e1"].owner
+    await world.wait_for(lambda: not owner.count_running(), timeout=2.0)
+    runs = len(model.list_runs())
+    await asyncio.sleep(0.4)
+    assert len(model.list_runs()) == runs
+    assert (await world.read_results("e1", "j1"))[0] == 200
+
+
+@in_world
+async def test_open_item_gives_its_body(world: World) -> None:
+    world.add_worker("w1", DESK)
+    world.add_worker("m1", MODELS, event_seconds=0.3)
+    await world.add_gateway("e1")
+    await world.add_gateway("e2")
+    assert await world.submit("e1", make_job(2), "j1") == 202
+    answer = await world.send("e2", "GET", "/-/items/j1?id=i1")
+    assert (answer.status, bytes(answer.body)) == (200, b"hello")
+    answer = await world.send("e2", "GET", "/-/items/j1?id=nothing")
+    assert answer.status == 404
+
+
+@in_world
+async def test_job_is_hidden_from_other_accounts(world: World) -> None:
+    await world.add_gateway("e1")
+    assert await world.submit("e1", make_job(2), "j1") == 202
+    answer = await world.send("e1", "GET", "/-/lots/j1", key=OTHER_KEY)
+    assert answer.status == 404
+    answer = await world.send("e1", "DELETE", "/-/lots/j1", key=OTHER_KEY)
+    assert answer.status == 404
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"items": [{"id": "a"}]},
+        {"items": [{"id": "a/b", "path": "/steps/1"}]},
+        {"items": [{"id": "a", "path": "/orders/1"}]},
+        {"items": [{"id": "a", "path": "/steps/1", "body": "%%%"}]},
+        {"items": [{"id": "a", "path": "/steps/1"}] * 2},
+        {"items": 7},
+        {"minVersion": "x"},
+    ],
+)
+def test_malformed_job_is_a_coded_error(change: dict[str, Any]) -> None:
+    @in_world
+    async def test(world: World) -> None:
+        world.add_worker("w1", DESK)
+        await world.add_gateway("e1")
+        assert await world.submit("e1", make_job(1) | change, "j1") == 400
+        assert (await world.call("e1", "r1")).status == 200
+
+    test()
+
+
+@pytest.mark.parametrize(
+    "fault",
+    [
+        {"kind": "cut", "value": 2, "count": 1},
+        {"kind": "stall", "value": 2, "seconds": 5, "count": 1},
+    ],
+)
+def test_broken_stream_goes_on_after_its_last_event(fault: dict[str, Any]) -> None:
+    @in_world
+    async def test(world: World) -> None:
+        world.add_worker("w1", DESK)
+        for name in ("m1", "m2"):
+            world.add_worker(name, MODELS).faults.add(dict(fault))
+        await world.add_gateway("e1")
+        assert await world.submit("e1", make_job(3), "j1") == 202
+        for result in await world.read_all("e1", "j1", 3):
+            assert result["text"] == make_text(result["id"])
+        runs = [run for one in world.workers.values() for run in one.list_runs()]
+        resumed = [run["headers"].get("Last-Event-Id") for run in runs]
+        assert "2" in resumed
+
+    test()
+
+
+@in_world
+async def test_item_that_always_fails_is_given_up_in_bounds(world: World) -> None:
+    world.add_worker("w1", DESK)
+    model = world.add_worker("m1", MODELS)
+    model.faults.add({"kind": "error"})
+    await world.add_gateway("e1")
+    assert await world.submit("e1", make_job(1), "j1") == 202
+    (result,) = await world.read_all("e1", "j1", 1)
+    assert result["state"] == "abandoned"
+    assert len(model.list_runs()) == 3
+
+
+@in_world
+async def test_impossible_item_is_given_up_at_once(world: World) -> None:
+    world.add_worker("w1", DESK)
+    model = world.add_worker("m1", MODELS)
+    model.faults.add({"kind": "impossible"})
+    await world.add_gateway("e1")
+    assert await world.submit("e1", make_job(1), "j1") == 202
+    (result,) = await world.read_all("e1", "j1", 1)
+    assert result["state"] == "abandoned"
+    assert len(model.list_runs()) == 1
+
+
+@in_world
+async def test_result_of_an_earlier_job_is_used_again(world: World) -> None:
+    world.add_worker("w1", DESK)
+    model = world.add_worker("m1", MODELS)
+    await world.add_gateway("e1")
+    assert await world.submit("e1", make_job(2), "j1") == 202
+    first = await world.read_all("e1", "j1", 2)
+    assert await world.submit("e1", make_job(2, minimum=1), "j2") == 202
+    second = await world.read_all("e1", "j2", 2)
+    assert sorted(one["text"] for one in first) == sorted(one["text"] for one in second)
+    assert len(model.list_runs()) == 2
+
+
+# Weights
+
+
+@in_world
+async def test_named_version_is_loaded_and_labelled(world: World) -> None:
+    world.add_worker("w1", DESK)
+    models = [world.add_worker(name, MODELS) for name in ("m1", "m2")]
+    await world.add_gateway("e1")
+    world.name_version(2)
+    world.name_version(3)
+    await world.wait_for(lambda: all(one.state.versions[MODEL] == 3 for one in models))
+    for model in models:
+        model.write_entry()
+        for order in model.list_orders():
+            assert order["holder"] == "e1"
+            assert order["precondition"] == 0
+    assert await world.submit("e1", make_job(3, minimum=3), "j1") == 202
+    for result in await world.read_all("e1", "j1", 3):
+        assert result["versions"] == [3]
+
+
+@pytest.mark.parametrize(
+    "fault",
+    [
+        {"kind": "mute_order", "count": 1},
+        {"kind": "late_order", "seconds": 1.5, "count": 1},
+    ],
+)
+def test_unanswered_order_is_carried_out_once(fault: dict[str, Any]) -> None:
+    @in_world
+    async def test(world: World) -> None:
+        world.add_worker("w1", DESK)
+        model = world.add_worker("m1", MODELS)
+        model.faults.add(dict(fault))
+        await world.add_gateway("e1")
+        world.name_version(2)
+        world.name_version(3)
+        await world.wait_for(lambda: model.state.versions[MODEL] == 3)
+        await asyncio.sleep(1.8)
+        assert len(model.list_orders()) == 1
+
+    test()
+
+
+@in_world
+async def test_no_event_of_older_weights_is_taken(world: World) -> None:
+    world.add_worker("w1", DESK)
+    old = world.add_worker("m1", MODELS)
+    old.write_entry(models=[{"name": MODEL, "version": 5, "adapters": []}])
+    await world.add_gateway("e1")
+    assert await world.submit("e1", make_job(1, minimum=5), "j1") == 202
+    await world.wait_for(old.list_runs)
+    await asyncio.sleep(0.3)
+    assert (await world.read_results("e1", "j1"))[1]["results"] == []
+    old.state.versions[MODEL] = 5
+    (result,) = await world.read_all("e1", "j1", 1)
+    assert result["versions"] == [5]
+
+
+# Configuration, keys, drains
+
+
+@in_world
+async def test_withdrawn_key_stops_and_old_versions_stay_out(world: World) -> None:
+    world.add_worker("w1", DESK)
+    gateway = await world.add_gateway("e1")
+    world.accounts[0]["apiKeys"] = ["another"]
+    world.put_configuration()
+    await world.wait_for(lambda: gateway.view.find_account(KEY) is None)
+    assert (await world.call("e1", "r1")).status == 401
+    world.accounts[0]["apiKeys"] = [KEY]
+    world.put_configuration(version=1)
+    await asyncio.sleep(0.7)
+    assert (await world.call("e1", "r2")).status == 401
+
+
+@in_world
+async def test_keys_are_not_trusted_without_the_store(world: World) -> None:
+    worker = world.add_worker("w1", DESK)
+    gateway = await world.add_gateway("e1")
+    bound = gateway.settings.key_bound
+    await world.stop_store()
+    stopped = asyncio.get_running_loop().time()
+
+    async def is_refused() -> bool:
+        return (await world.call("e1", "r1")).status == 503
+
+    await world.retry(is_refused)
+    assert asyncio.get_running_loop().time() - stopped < bound
+    assert not gateway.is_ready()
+    runs = len(worker.list_runs())
+    assert (await world.call("e1", "r2")).status == 503
+    assert len(worker.list_runs()) == runs
+    world.start_store()
+    await world.wait_for(gateway.is_ready)
+    assert (await world.call("e1", "r3")).status == 200
+
+
+@in_world
+async def test_draining_gone_and_evacuated_workers_get_nothing(world: World) -> None:
+    first = world.add_worker("w1", DESK)
+    second = world.add_worker("w2", DESK)
+    third = world.add_worker("w3", DESK, zone="bench-b")
+    gateway = await world.add_gateway("e1")
+    first.write_entry(state="draining")
+    second.remove_entry()
+    world.put("keyed.op", "evacuate/bench-b", b"{}")
+    usable = gateway.view.list_usable
+    await world.wait_for(lambda: not usable(DESK))
+    assert (await world.call("e1", "r1")).status == 503
+    world.put("keyed.op", "evacuate/bench-b", b"")
+    await world.wait_for(lambda: usable(DESK))
+    assert (await world.call("e1", "r2")).status == 200
+    assert [len(one.list_runs()) for one in (first, second, third)] == [0, 0, 1]
+
+
+@in_world
+async def test_entries_that_lapsed_during_an_outage_are_kept(world: World) -> None:
+    worker = world.add_worker("w1", DESK)
+    gateway = await world.add_gateway("e1")
+    await world.stop_store()
+    await asyncio.sleep(1.2)
+    worker.remove_entry()
+    world.start_store()
+    await world.wait_for(lambda: gateway.watch.upstreams.lost_at is None)
+    assert (await world.call("e1", "r1")).status == 200
+    await world.wait_for(lambda: "w1" not in gateway.view.upstreams, timeout=4.0)
+    assert (await world.call("e1", "r2")).status == 503
+
+
+@in_world
+async def test_entry_of_another_writer_names_no_worker(world: World) -> None:
+    world.add_worker("w1", DESK)
+    for number, value in enumerate((b"\xff\x00", b"[]", b"7", b'{"service": "desk"}')):
+        world.put("keyed.servers", f"x{number}", value)
+    entry = {
+        "service": DESK,
+        "address": "127.0.0.1:1",
+        "zone": "bench-a",
+        "slots": "many",
+        "state": "ready",
+    }
+    world.put("keyed.servers", "x9", json.dumps(entry).encode())
+    gateway = await world.add_gateway("e1")
+    assert list(gateway.view.upstreams) == ["w1"]
+    assert (await world.call("e1", "r1")).status == 200
+
+
+@in_world
+async def test_usage_is_reported_once_by_one_holder(world: World) -> None:
+    world.add_worker("w1", DESK)
+    await world.add_gateway("e1")
+    await world.add_gateway("e2")
+    for number in range(6):
+        gateway = "e1" if number % 2 else "e2"
+        assert (await world.call(gateway, f"r{number}")).status == 200
+
+    def sum_reports() -> int:
+        return sum(
+            entry["body"]["counts"].get("mill", 0)
+            for entry in world.journal.entries
+            if entry["what"] == "usage"
+        )
+
+    await world.wait_for(lambda: sum_reports() == 6)
+    reports = [entry for entry in world.journal.entries if entry["what"] == "usage"]
+    windows = [entry["body"]["window"] for entry in reports]
+    assert len(set(windows)) == len(windows)
+    assert len({entry["holder"] for entry in reports}) == 1
