--- a/buckthornstile/duties/_weights.py
+++ b/buckthornstile/duties/_weights.py
@@ -10,8 +10,10 @@
 
 LOADING_SHARE = 0.4
 """Share of a service's engines that load at the same time; more slow each other."""
-LOAD_TIME = 3.0
-"""Seconds after which an accepted order that shows no effect is doubted."""
+LOAD_TIME = 0.9
+"""Seconds that a load takes at least; then the engine is asked for its state."""
+BUSY_PAUSE = 0.15
+"""Seconds between two questions to an engine that still loads."""
 DOUBT_PAUSE = 0.4
 """Seconds before an engine whose order had no answer is asked."""
 ALLOWED_LAG = 1
@@ -19,6 +21,8 @@
 REPLICA_SHARE = 2.0
 """Engines a model uses, in terms of its even share: each then loads every second
 version, and the loads come to the even share."""
+MIN_REPLICAS = 4
+"""Engines a model uses where there are so many: half of them serve a step at once."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,10 +42,18 @@
     versions: dict[ModelName, int] = field(default_factory=dict)
     order_count: int | None = None
     loading_until: float = 0.0
-    loading: ModelName | None = None
     doubted_at: float | None = None
 
 
+@dataclass(slots=True)
+class _Wanted:
+    """A load that a model wants; the smallest rank goes first."""
+
+    load: PlannedLoad
+    engine: _Engine
+    rank: tuple[int, int]
+
+
 class LoadPlanner:
     """Chooses loads for the holder of the lease.
 
@@ -100,8 +112,7 @@
             return
         if engine.order_count is not None:
             engine.order_count += 1
-        engine.loading, engine.loading_until = load.model, self.clock() + LOAD_TIME
-        engine.doubted_at = engine.loading_until
+        engine.doubted_at = engine.loading_until = self.clock() + LOAD_TIME
         self._credit[load.model] = self._credit.get(load.model, 0.0) - 1
 
     def note_holds(self, load: PlannedLoad) -> None:
@@ -119,6 +130,22 @@
             engine.doubted_at = now + DOUBT_PAUSE
             engine.loading_until = max(engine.loading_until, now + DOUBT_PAUSE)
 
+    def list_fresh_versions(self) -> dict[UpstreamId, dict[ModelName, int]]:
+        """Lists what engines hold that their entries do not show yet."""
+        fresh: dict[UpstreamId, dict[ModelName, int]] = {}
+        for name, engine in self._engines.items():
+            upstream = self.view.upstreams.get(name)
+            if upstream is None or upstream.born != engine.born:
+                continue
+            newer = {
+                model: version
+                for model, version in engine.versions.items()
+                if version > upstream.versions.get(model, 0)
+            }
+            if newer:
+                fresh[name] = newer
+        return fresh
+
     def note_report(
         self,
         upstream_id: UpstreamId,
@@ -133,10 +160,8 @@
         engine.versions.update(versions)
         engine.order_count = order_count
         now = self.clock()
-        engine.doubted_at = now + DOUBT_PAUSE if is_busy else None
-        engine.loading_until = now + DOUBT_PAUSE if is_busy else 0.0
-        if not is_busy:
-            engine.loading = None
+        engine.doubted_at = now + BUSY_PAUSE if is_busy else None
+        engine.loading_until = now + BUSY_PAUSE if is_busy else 0.0
 
     def _find(self, name: UpstreamId) -> tuple[_Engine | None, Upstream | None]:
         upstream = self.view.upstreams.get(name)
@@ -159,39 +184,38 @@
             (one, self._get_engine(one)) for one in self.view.list_usable(service)
         ]
         self._forget_gone()
-        for upstream, engine in engines:
-            self._note_loaded(upstream, engine)
         loading = sum(engine.loading_until > now for _, engine in engines)
         room = math.ceil(LOADING_SHARE * len(engines)) - loading
         assigned: dict[UpstreamId, int] = {}
-        planned: list[PlannedLoad] = []
+        wanted: list[_Wanted] = []
         for model in models:
             named = self.view.named_versions.get(model, 0)
             if named < 2 or not engines:
                 continue
             share = len(engines) / len(models)
             self._give_credit(model, named, share)
-            count = min(len(engines), max(2, round(REPLICA_SHARE * share)))
+            count = min(len(engines), max(MIN_REPLICAS, round(REPLICA_SHARE * share)))
             chosen = self._choose_replicas(model, named, engines, count, assigned)
-            for upstream, engine in self._order(model, named, chosen, now):
-                if room <= 0 or any(one.upstream == upstream.id for one in planned):
-                    continue
-                room -= 1
-                if engine.order_count is None:
-                    # An order needs the count of earlier ones: ask for it first.
-                    engine.doubted_at = now
-                    continue
-                planned.append(PlannedLoad(upstream.id, model, named))
-        return planned
+            wanted += self._list_wanted(model, named, chosen, now)
+        return self._take_most_urgent(wanted, room, now)
 
-    def _note_loaded(self, upstream: Upstream, engine: _Engine) -> None:
-        model = engine.loading
-        if model is None:
-            return
-        named = self.view.named_versions.get(model, 0)
-        if upstream.versions.get(model, 0) >= named:
-            engine.loading, engine.loading_until = None, 0.0
-            engine.doubted_at = None
+    def _take_most_urgent(
+        self, wanted: list["_Wanted"], room: int, now: float
+    ) -> list[PlannedLoad]:
+        planned: list[PlannedLoad] = []
+        taken: set[UpstreamId] = set()
+        for one in sorted(wanted, key=lambda one: one.rank):
+            name = one.load.upstream
+            if room <= 0 or name in taken:
+                continue
+            taken.add(name)
+            room -= 1
+            if one.engine.order_count is None:
+                # An order needs the count of earlier ones: ask for it first.
+                one.engine.doubted_at = now
+                continue
+            planned.append(one.load)
+        return planned
 
     def _give_credit(self, model: ModelName, named: int, share: float) -> None:
         fresh = named - self._credited.get(model, named - 1)
@@ -222,32 +246,39 @@
             assigned[upstream.id] = assigned.get(upstream.id, 0) + 1
         return chosen
 
-    def _order(
+    def _list_wanted(
         self,
         model: ModelName,
         named: int,
         chosen: list[tuple[Upstream, _Engine]],
         now: float,
-    ) -> list[tuple[Upstream, _Engine]]:
-        """Gives the engines that should load now, the most urgent first."""
+    ) -> list["_Wanted"]:
+        """Lists the loads that a model wants now.
+
+        Those of a model that no engine can serve come first, then those of engines
+        that are too old to serve it, then those that its credit allows.
+        """
         lags = [
             (named - engine.versions.get(model, 0), upstream, engine)
             for upstream, engine in chosen
         ]
-        able = [one for one in lags if one[0] <= ALLOWED_LAG]
+        able = sum(lag <= ALLOWED_LAG for lag, _, _ in lags)
         credit = self._credit.get(model, 0.0)
-        wanted = []
+        wanted: list[_Wanted] = []
         optional = 0
         for lag, upstream, engine in sorted(lags, key=lambda one: -one[0]):
             if lag <= 0 or engine.loading_until > now or engine.doubted_at is not None:
                 continue
             if self.is_suspect(upstream):
                 continue
+            load = PlannedLoad(upstream.id, model, named)
             if lag > ALLOWED_LAG:
-                wanted.append((upstream, engine))
+                able_then = able + sum(one.rank[0] < 2 for one in wanted)
+                rank = (int(able_then > 0), -lag)
+                wanted.append(_Wanted(load, engine, rank))
             # Engines that can serve the step now must not all load at once.
-            elif credit - len(wanted) >= 1 and optional + 1 < len(able):
-                wanted.append((upstream, engine))
+            elif credit - len(wanted) >= 1 and optional + 1 < able:
+                wanted.append(_Wanted(load, engine, (2, -lag)))
                 optional += 1
         return wanted
 
--- /dev/null
+++ b/buckthornstile/duties/tests/test_lease_machine.py
@@ -0,0 +1,166 @@
+"""The lease against a model of the store: lost and late answers, pauses, outages."""
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+
+from buckthornstile.duties import (
+    DutyFold,
+    Lease,
+    LeaseRecord,
+    decode_duty_record,
+    encode_duty_record,
+)
+
+TURN_BOUND = 3.0
+NAMES = ("e1", "e2", "e3")
+
+
+class Process:
+    """One process: its fold, its lease and what it has in flight."""
+
+    def __init__(self, machine: "LeaseMachine", name: str) -> None:
+        self.name = name
+        self.fold = DutyFold(lambda: machine.now)
+        self.lease = Lease(
+            name, self.fold, clock=lambda: machine.now, turn_bound=TURN_BOUND
+        )
+        self.read = 0
+
+    def read_log(self, log: list[bytes]) -> None:
+        """Folds what it has not read yet."""
+        for offset in range(self.read, len(log)):
+            self.fold.apply(offset, decode_duty_record(log[offset]))
+        self.read = len(log)
+
+
+class LeaseMachine(RuleBasedStateMachine):
+    """Processes that read, append and act at any moments."""
+
+    @initialize()
+    def start(self) -> None:
+        self.now = 100.0
+        self.log: list[bytes] = []
+        self.processes = {name: Process(self, name) for name in NAMES}
+        self.late: list[tuple[int, bytes]] = []
+        self.acts: list[tuple[float, str, int]] = []
+
+    @rule(seconds=st.sampled_from([0.05, 0.2, 0.4, 1.0, 2.5, 4.0]))
+    def pass_time(self, seconds: float) -> None:
+        self.now += seconds
+
+    @rule(name=st.sampled_from(NAMES))
+    def read(self, name: str) -> None:
+        self.processes[name].read_log(self.log)
+
+    @rule(
+        name=st.sampled_from(NAMES),
+        outcome=st.sampled_from(["answered", "lost", "late", "slow"]),
+    )
+    def write(self, name: str, outcome: str) -> None:
+        process = self.processes[name]
+        record = process.lease.choose_record()
+        if record is None:
+            return
+        sent_at, at = self.now, process.fold.end
+        data = encode_duty_record(record)
+        if outcome == "late":
+            self.late.append((at, data))
+            return
+        if outcome == "slow":
+            self.now += 0.5
+        if at != len(self.log):
+            return
+        self.log.append(data)
+        if outcome != "lost":
+            process.lease.note_written(record, at, sent_at)
+
+    @rule()
+    def carry_out_late(self) -> None:
+        if self.late:
+            at, data = self.late.pop(0)
+            if at == len(self.log):
+                self.log.append(data)
+
+    @rule(name=st.sampled_from(NAMES))
+    def restart(self, name: str) -> None:
+        self.processes[name] = Process(self, name)
+        self.processes[name].read_log(self.log)
+
+    @rule(name=st.sampled_from(NAMES))
+    def act(self, name: str) -> None:
+        process = self.processes[name]
+        if process.lease.holds():
+            self.acts.append((self.now, name, process.fold.term))
+
+    @invariant()
+    def terms_only_rise(self) -> None:
+        terms = [term for _, _, term in getattr(self, "acts", [])]
+        assert terms == sorted(terms)
+
+    @invariant()
+    def a_term_has_one_holder(self) -> None:
+        holders: dict[int, str] = {}
+        for _, name, term in getattr(self, "acts", []):
+            assert holders.setdefault(term, name) == name
+
+    @invariant()
+    def no_turn_there_and_back_within_the_bound(self) -> None:
+        acts = getattr(self, "acts", [])
+        for first, (at, name, _) in enumerate(acts):
+            others = False
+            for later, other, _ in acts[first + 1 :]:
+                if later - at > TURN_BOUND:
+                    break
+                others |= other != name
+                assert not (others and other == name)
+
+
+def test_lease_machine() -> None:
+    run_state_machine_as_test(
+        LeaseMachine,
+        settings=settings(
+            derandomize=True, max_examples=300, stateful_step_count=60, deadline=None
+        ),
+    )
+
+
+def test_one_of_two_claims_is_written() -> None:
+    machine = LeaseMachine()
+    machine.start()
+    first, second = machine.processes["e1"], machine.processes["e2"]
+    assert first.lease.choose_record() == LeaseRecord("e1")
+    assert second.lease.choose_record() == LeaseRecord("e2")
+    machine.write("e1", "answered")
+    machine.write("e2", "answered")
+    second.read_log(machine.log)
+    assert first.lease.holds()
+    assert not second.lease.holds()
+    assert second.lease.choose_record() is None
+
+
+def test_holder_that_was_suspended_does_not_act() -> None:
+    machine = LeaseMachine()
+    machine.start()
+    machine.write("e1", "answered")
+    holder = machine.processes["e1"]
+    assert holder.lease.holds()
+    machine.now += 0.5 * TURN_BOUND
+    assert not holder.lease.holds()
+
+
+def test_silence_of_an_outage_is_no_death() -> None:
+    machine = LeaseMachine()
+    machine.start()
+    machine.write("e1", "answered")
+    follower = machine.processes["e2"]
+    follower.read_log(machine.log)
+    machine.now += 10.0
+    follower.fold.note_return()
+    assert follower.lease.choose_record() is None
--- a/buckthornstile/gateway/_calls.py
+++ b/buckthornstile/gateway/_calls.py
@@ -170,14 +170,14 @@
                 account=call.account,
             )
         )
-        fleet.note_start(upstream)
+        place = fleet.take_place(upstream)
         try:
             # On a kept connection an unanswered request may have been run.
             answer = await self.sender.pool.exchange(
                 upstream.address, outgoing, fresh=not self.repeats
             )
         finally:
-            fleet.note_end(upstream)
+            place.release()
         head = decode_head(answer)
         fleet.note_load(upstream, head.load)
         if not head.is_refusal:
--- a/buckthornstile/gateway/_control.py
+++ b/buckthornstile/gateway/_control.py
@@ -22,6 +22,7 @@
     encode_duty_record,
 )
 from buckthornstile.exchanges import ConnectionPool
+from buckthornstile.gateway._presence import Versions
 from buckthornstile.gateway._tails import Tail
 from buckthornstile.logs import log_event
 from buckthornstile.platform import (
@@ -65,6 +66,7 @@
         wall_clock: Seconds since the epoch.
         turn_bound: Seconds in which the holder may not change there and back.
         usage_due: Seconds after its end in which a window is to be reported.
+        on_news: Called when an engine was found to hold a new version.
     """
 
     def __init__(
@@ -82,6 +84,7 @@
         wall_clock: Callable[[], float],
         turn_bound: float,
         usage_due: float,
+        on_news: Callable[[], None],
     ) -> None:
         self.name = name
         self.node = node
@@ -94,6 +97,7 @@
         self.clock = clock
         self.wall_clock = wall_clock
         self.usage_due = usage_due
+        self.on_news = on_news
         self.fold = DutyFold(clock)
         self.lease = Lease(name, self.fold, clock=clock, turn_bound=turn_bound)
         self.is_leaving = False
@@ -247,6 +251,15 @@
                 return LoadMode.FINISH_FIRST
         return LoadMode.CONTINUE
 
+    def list_fresh_versions(self) -> Versions:
+        """Lists what engines hold that their entries do not show yet."""
+        if not self.lease.holds():
+            return {}
+        return {
+            name: (self.view.upstreams[name].born, versions)
+            for name, versions in self.planner.list_fresh_versions().items()
+        }
+
     async def _ask_engine(self, name: str) -> None:
         upstream = self.view.upstreams.get(name)  # type: ignore[call-overload]
         if upstream is None:
@@ -263,6 +276,12 @@
         self.planner.note_report(
             upstream.id, report.versions, report.order_count, report.is_busy
         )
+        if any(
+            version > self.view.get_version(upstream, model)
+            for model, version in report.versions.items()
+        ):
+            self.view.note_versions(upstream.id, upstream.born, report.versions)
+            self.on_news()
         log_event(
             "engine.report",
             upstream=name,
--- a/buckthornstile/gateway/_daemon.py
+++ b/buckthornstile/gateway/_daemon.py
@@ -20,8 +20,8 @@
 from buckthornstile.gateway._door import Door
 from buckthornstile.gateway._fleet import Fleet
 from buckthornstile.gateway._handlers import ClientHandlers, HandlerTools
+from buckthornstile.gateway._item_work import JobTools
 from buckthornstile.gateway._job_owner import JobOwner
-from buckthornstile.gateway._job_runner import JobTools
 from buckthornstile.gateway._job_store import JobStore
 from buckthornstile.gateway._presence import (
     PRESENCE_PERIOD,
@@ -73,6 +73,7 @@
         self.name = ProcessName(name)
         self.clock = read_boottime
         self.is_stopping = False
+        self._news = asyncio.Event()
         self.view = TopologyView()
         self.store = StoreClient(settings.store_address)
         self.pool = ConnectionPool()
@@ -214,6 +215,7 @@
             wall_clock=self.read_wall,
             turn_bound=settings.turn_bound,
             usage_due=settings.usage_due,
+            on_news=self._news.set,
         )
 
     def _make_doors(self) -> None:
@@ -259,6 +261,8 @@
             return
         self.presence.apply(record)
         self.totals.apply(record.name, record.counts)
+        for upstream_id, (born, versions) in record.versions.items():
+            self.view.note_versions(upstream_id, born, versions)
 
     def _reload(self) -> None:
         try:
@@ -282,7 +286,10 @@
         while True:
             with contextlib.suppress(BuckthornstileError):
                 await self._announce_once()
-            await asyncio.sleep(PRESENCE_PERIOD)
+            self._news.clear()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(PRESENCE_PERIOD):
+                    await self._news.wait()
 
     async def _announce_once(self) -> None:
         record = PresenceRecord(
@@ -290,6 +297,7 @@
             self.settings.name,
             is_leaving=self.is_stopping,
             counts=self.counter.get_counts(self.read_wall()),
+            versions=self.control.list_fresh_versions(),
         )
         await self.store.append(PRESENCE_TOPIC, 0, [record.encode()])
 
@@ -299,6 +307,7 @@
         self.owner.is_leaving = True
         self.control.is_leaving = True
         self.client_door.start_closing()
+        await self.owner.save_all()
         with contextlib.suppress(BuckthornstileError):
             await self._announce_once()
         began = self.clock()
--- a/buckthornstile/gateway/_fleet.py
+++ b/buckthornstile/gateway/_fleet.py
@@ -19,6 +19,8 @@
 """Weight of the newest time in an upstream's moving average."""
 SLOW_RATIO = 1.8
 """A pace that many times the median of its peers counts as slow."""
+ACTIVE_TIME = 0.3
+"""Seconds for which an upstream that sent something is not taken as silent."""
 COLD_WINDOW = 1.05
 """Seconds over which starts at a cold upstream are counted; one and a margin for
 the difference of delays."""
@@ -37,14 +39,31 @@
     load: UpstreamLoad | None = None
     load_at: float = -1e9
     own_at_load: int = 0
+    active_at: float = -1e9
     failures: int = 0
     ejected_until: float = 0.0
     pace: float | None = None
     refused_until: float = 0.0
-    version_floor: dict[str, int] = field(default_factory=dict)
     starts: deque[float] = field(default_factory=deque)
 
 
+class Place:
+    """A request that is open at an upstream; releasing it twice counts once."""
+
+    def __init__(self, seen: Observed) -> None:
+        self._seen: Observed | None = seen
+
+    def release(self) -> None:
+        """Notes that the request has ended, however it did."""
+        if self._seen is not None:
+            self._seen.open -= 1
+            self._seen = None
+
+    def release_after(self, _: object) -> None:
+        """Releases the place when a task is done."""
+        self.release()
+
+
 class Fleet:
     """Chooses upstreams by load, pace and recent failures.
 
@@ -140,6 +159,19 @@
         )
         return paces[(len(paces) - 1) // 2] if paces else None
 
+    def is_slow(self, upstream: Upstream, pace: float) -> bool:
+        """Whether a pace at an upstream is slow beside its peers' free places."""
+        now = self.clock()
+        peers = [
+            one
+            for one in self.view.list_usable(upstream.service)
+            if one.id != upstream.id
+            and self.get(one).ejected_until <= now
+            and self.has_place(one)
+        ]
+        median = self.find_median_pace(peers)
+        return median is not None and pace > SLOW_RATIO * median
+
     def is_suspect(self, upstream: Upstream) -> bool:
         """Whether an upstream failed so recently that others are better."""
         return self.get(upstream).ejected_until > self.clock()
@@ -193,8 +225,8 @@
 
     # What is seen
 
-    def note_start(self, upstream: Upstream) -> None:
-        """Notes that a request is sent."""
+    def take_place(self, upstream: Upstream) -> "Place":
+        """Counts a request that is sent now, until its place is released."""
         seen = self.get(upstream)
         seen.open += 1
         configuration = self.view.configuration
@@ -205,10 +237,7 @@
             while starts and starts[0] <= now - COLD_WINDOW:
                 starts.popleft()
             starts.append(now)
-
-    def note_end(self, upstream: Upstream) -> None:
-        """Notes that a request has ended, however it did."""
-        self.get(upstream).open -= 1
+        return Place(seen)
 
     def note_load(self, upstream: Upstream, load: UpstreamLoad | None) -> None:
         """Notes what an upstream says of its load."""
@@ -217,6 +246,14 @@
             seen.load, seen.load_at = load, self.clock()
             seen.own_at_load = seen.open
 
+    def note_activity(self, upstream: Upstream) -> None:
+        """Notes that an upstream sent something."""
+        self.get(upstream).active_at = self.clock()
+
+    def is_active(self, upstream: Upstream) -> bool:
+        """Whether an upstream sent something to this process just now."""
+        return self.clock() - self.get(upstream).active_at < ACTIVE_TIME
+
     def note_pace(self, upstream: Upstream, seconds: float) -> None:
         """Notes how long a unit of work took."""
         seen = self.get(upstream)
--- a/buckthornstile/gateway/_job_owner.py
+++ b/buckthornstile/gateway/_job_owner.py
@@ -4,7 +4,8 @@
 from collections.abc import Callable
 
 from buckthornstile.base import BuckthornstileError, ProcessName
-from buckthornstile.gateway._job_runner import JobRunner, JobTools
+from buckthornstile.gateway._item_work import JobTools
+from buckthornstile.gateway._job_runner import JobRunner
 from buckthornstile.gateway._presence import PresenceTable
 from buckthornstile.jobs import Job, JobId
 from buckthornstile.logs import log_event
@@ -15,6 +16,8 @@
 CLAIM_PERIOD = 1.0
 """Seconds before a claim whose outcome is not known is made again."""
 DROP_PERIOD = 5.0
+SAVE_TIME = 0.5
+"""Seconds to store the progress of all jobs before others are asked to take over."""
 
 
 class JobOwner:
@@ -68,6 +71,20 @@
             runner.stop()
         self._runners.clear()
 
+    async def save_all(self) -> None:
+        """Stores the progress of all jobs for those who take them over."""
+        runners = list(self._runners.values())
+        saves = [runner.save_progress(1) for runner in runners]
+        try:
+            async with asyncio.timeout(SAVE_TIME):
+                outcomes = await asyncio.gather(*saves, return_exceptions=True)
+        except TimeoutError:
+            log_event("job.hand_over_incomplete", jobs=len(runners))
+            return
+        for outcome in outcomes:
+            if isinstance(outcome, BaseException):
+                log_event("job.hand_over_failed", reason=repr(outcome))
+
     async def run(self) -> None:
         """Looks for jobs without a living owner until cancelled."""
         while True:
--- a/buckthornstile/gateway/_presence.py
+++ b/buckthornstile/gateway/_presence.py
@@ -4,7 +4,8 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
-from buckthornstile.base import ProcessName
+from buckthornstile.base import ProcessName, UpstreamId
+from buckthornstile.topology import ModelName
 
 PRESENCE_TOPIC = "presence"
 PRESENCE_PERIOD = 0.45
@@ -16,21 +17,28 @@
 """Seconds for which a silent process still counts where a bound is shared."""
 
 Counts = Mapping[int, Mapping[str, int]]
+Versions = Mapping[UpstreamId, tuple[int, Mapping[ModelName, int]]]
 
 
 @dataclass(frozen=True, slots=True)
 class PresenceRecord:
-    """What a process says of itself; ``counts`` are requests by window, account."""
+    """What a process says of itself.
+
+    ``counts`` are its requests by window and account; ``versions`` what engines were
+    seen to hold before their entries say so, with the millisecond of their start.
+    """
 
     name: ProcessName
     node: str
     is_leaving: bool = False
     counts: Counts = field(default_factory=dict)
+    versions: Versions = field(default_factory=dict)
 
     def encode(self) -> bytes:
         """Encodes the record."""
         counts = {str(window): dict(one) for window, one in self.counts.items()}
-        return json.dumps([self.name, self.node, self.is_leaving, counts]).encode()
+        data = [self.name, self.node, self.is_leaving, counts, dict(self.versions)]
+        return json.dumps(data).encode()
 
 
 def decode_presence(data: bytes) -> PresenceRecord:
@@ -40,12 +48,16 @@
         ValueError: It does not have the agreed form.
     """
     try:
-        name, node, leaving, counts = json.loads(data)
+        name, node, leaving, counts, versions = json.loads(data)
         return PresenceRecord(
             ProcessName(name),
             node,
             bool(leaving),
             {int(window): dict(one) for window, one in counts.items()},
+            {
+                UpstreamId(one): (int(born), dict(models))
+                for one, (born, models) in versions.items()
+            },
         )
     except (TypeError, AttributeError) as error:
         raise ValueError(f"presence record: {error}") from error
--- a/buckthornstile/gateway/_streams.py
+++ b/buckthornstile/gateway/_streams.py
@@ -1,6 +1,7 @@
 """Runs one item of a batch job at one upstream and collects its events."""
 
 import asyncio
+from collections import deque
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -10,12 +11,17 @@
 from buckthornstile.gateway._fleet import Fleet
 from buckthornstile.jobs import JobItem
 from buckthornstile.platform import EventReader, decode_head, encode_call
-from buckthornstile.topology import Upstream
+from buckthornstile.topology import ModelName, Upstream
 
 FIRST_EVENT_TIMEOUT = 1.2
 """Seconds without a first event after which an upstream is taken as silent."""
 EVENT_TIMEOUT = 0.6
 """Seconds between two events after which an upstream is taken as silent."""
+JUDGED_EVENTS = 4
+"""Newest events of a run by which its pace is judged."""
+MAX_MOVES = 3
+"""Times that one item leaves a slow upstream."""
+NO_VERSION = -1
 RUN_TIME = 10.0
 """Seconds that an upstream may work on one run."""
 REFUSAL_PAUSE = 0.08
@@ -31,6 +37,7 @@
     IMPOSSIBLE = "impossible"
     BROKEN = "broken"
     SILENT = "silent"
+    SLOW = "slow"
     TOO_OLD = "too_old"
 
 
@@ -39,6 +46,8 @@
     """What an item's runs have made so far."""
 
     events: list[StreamEvent] = field(default_factory=list)
+    moves: int = 0
+    last_status: int = 0
 
     def get_last_id(self) -> int | None:
         """The id of the last whole event."""
@@ -75,6 +84,7 @@
         account: AccountId,
         urgency: int,
         minimum_version: int,
+        model: ModelName | None,
         version: int | None,
     ) -> RunEnd:
         """Runs an item from where its progress stands.
@@ -87,6 +97,7 @@
             account: The client account that it runs for.
             urgency: From 0, the most urgent, to 9.
             minimum_version: Events of older weights are not taken.
+            model: The model that runs it.
             version: The only version that may run it, or None for any.
         """
         call = UpstreamCall(
@@ -103,7 +114,7 @@
             resume_after=progress.get_last_id(),
             version=version,
         )
-        run = _Run(self, upstream, progress, minimum_version)
+        run = _Run(self, upstream, progress, minimum_version, model)
         return await run.execute(call)
 
 
@@ -114,7 +125,9 @@
         upstream: Upstream,
         progress: Progress,
         minimum_version: int,
+        model: ModelName | None,
     ) -> None:
+        self.model = model
         self.runner = runner
         self.upstream = upstream
         self.progress = progress
@@ -126,11 +139,12 @@
         self.events = 0
         self.too_old = False
         self.broken = False
+        self.is_slow = False
+        self.event_times: deque[float] = deque(maxlen=JUDGED_EVENTS + 1)
+        self.status = 0
         self.task: asyncio.Task[Answer] | None = None
 
     async def execute(self, call: UpstreamCall) -> RunEnd:
-        fleet = self.runner.fleet
-        fleet.note_start(self.upstream)
         self.task = asyncio.create_task(
             self.runner.pool.exchange(
                 self.upstream.address,
@@ -143,7 +157,6 @@
             is_silent = await self._watch()
             end = self._judge(is_silent)
         finally:
-            fleet.note_end(self.upstream)
             if not self.task.done():
                 self.task.cancel()
                 await asyncio.wait({self.task})
@@ -162,17 +175,25 @@
             done, _ = await asyncio.wait({self.task}, timeout=left)
             if done:
                 return False
-            if self.too_old or self.broken:
-                return False
 
     def _take_head(self, answer: Answer) -> None:
         self.head = decode_head(answer)
         self.runner.fleet.note_load(self.upstream, self.head.load)
         if self.head.status != 200 or self.head.is_refusal:
             return
-        if self.head.version is None or self.head.is_encoded:
+        if self.head.is_encoded:
             self._break()
             return
+        if self.head.version is None:
+            # Only an answer without events needs no version.
+            self.reader = EventReader(NO_VERSION, self._take_event)
+            return
+        if self.model is not None:
+            self.runner.fleet.view.note_versions(
+                self.upstream.id,
+                self.upstream.born,
+                {self.model: self.head.version},
+            )
         if self.head.version < self.minimum_version:
             self.too_old = True
             self._cancel()
@@ -189,15 +210,30 @@
 
     def _take_event(self, event: StreamEvent) -> None:
         last = self.progress.get_last_id()
-        if self.broken or (last is not None and event.id != last + 1):
+        is_next = last is None or event.id == last + 1
+        if self.broken or not is_next or event.version == NO_VERSION:
             self._break()
             return
         now = self.loop.time()
         if self.events:
             self.runner.fleet.note_pace(self.upstream, now - self.active_at)
+        self.runner.fleet.note_activity(self.upstream)
         self.active_at = now
+        self.event_times.append(now)
         self.events += 1
         self.progress.events.append(event)
+        self._judge_pace(now)
+
+    def _judge_pace(self, now: float) -> None:
+        """Ends the run if a peer with a free place would be much faster."""
+        times = self.event_times
+        if len(times) <= JUDGED_EVENTS or self.progress.moves >= MAX_MOVES:
+            return
+        pace = (now - times[0]) / JUDGED_EVENTS
+        if self.runner.fleet.is_slow(self.upstream, pace):
+            self.progress.moves += 1
+            self.is_slow = True
+            self._cancel()
 
     def _break(self) -> None:
         self.broken = True
@@ -212,8 +248,14 @@
         assert task is not None
         if self.too_old:
             return RunEnd.TOO_OLD
+        if self.is_slow and not task.done():
+            return RunEnd.SLOW
+        if self.is_slow and task.cancelled():
+            return RunEnd.SLOW
         if is_silent:
-            fleet.note_failure(self.upstream)
+            # One that serves others lets this request wait in its queue.
+            if not fleet.is_active(self.upstream):
+                fleet.note_failure(self.upstream)
             return RunEnd.SILENT
         error = None if task.cancelled() else task.exception()
         if task.cancelled() or error is not None or self.broken:
@@ -236,6 +278,7 @@
             return RunEnd.IMPOSSIBLE
         if head.status == 500:
             return RunEnd.FAILED
+        self.progress.last_status = head.status
         whole = self.reader is not None and self.reader.is_between_events()
         if head.status != 200 or not whole or not self.progress.events:
             fleet.note_failure(self.upstream)
--- a/buckthornstile/gateway/_watch.py
+++ b/buckthornstile/gateway/_watch.py
@@ -141,15 +141,22 @@
         if record.value is None:
             until = self._get_lapse_end(now)
             log_event("upstream.entry_gone", upstream=name, kept=max(0, until - now))
-            self.view.remove_upstream(name, until=until)
+            self.view.remove_upstream(name, now, until=until)
             self.on_change()
             return
         upstream = self._decode_upstream(record)
         if upstream is None:
-            self.view.remove_upstream(name)
+            self.view.remove_upstream(name, now)
             return
         known = self.view.upstreams.get(name)
-        self.view.apply_upstream(upstream, now)
+        if not self.view.apply_upstream(upstream, now):
+            log_event(
+                "upstream.entry_late",
+                upstream=name,
+                beat=upstream.beat,
+                known=known is not None,
+            )
+            return
         if known is None or _differs(known, upstream):
             log_event(
                 "upstream.changed",
--- a/buckthornstile/gateway/tests/test_gateway.py
+++ b/buckthornstile/gateway/tests/test_gateway.py
@@ -412,6 +412,85 @@
     test()
 
 
+@in_world
+async def test_stream_cut_after_its_last_event_is_completed(world: World) -> None:
+    world.add_worker("w1", DESK)
+    model = world.add_worker("m1", MODELS)
+    model.faults.add({"kind": "cut_end", "count": 1})
+    await world.add_gateway("e1")
+    assert await world.submit("e1", make_job(1), "j1") == 202
+    (result,) = await world.read_all("e1", "j1", 1)
+    assert result["text"] == make_text("i0")
+    assert len(model.list_runs()) == 2
+
+
+@in_world
+async def test_slow_engine_is_left_in_mid_stream(world: World) -> None:
+    world.add_worker("w1", DESK)
+    slow = world.add_worker("m1", MODELS, events=30, event_seconds=0.01)
+    fast = world.add_worker("m2", MODELS, events=30, event_seconds=0.01)
+    await world.add_gateway("e1")
+    assert await world.submit("e1", make_job(14), "j0") == 202
+    await world.read_all("e1", "j0", 14)
+    assert slow.list_runs()
+    slow.state.event_seconds = 0.3
+    assert await world.submit("e1", make_job(14, prefix="k"), "j1") == 202
+    for result in await world.read_all("e1", "j1", 14):
+        assert result["text"] == make_text(result["id"], 30)
+    runs = slow.list_runs() + fast.list_runs()
+    assert [run for run in runs if "Last-Event-Id" in run["headers"]]
+
+
+@in_world
+async def test_successor_goes_on_from_stored_events(world: World) -> None:
+    world.add_worker("w1", DESK)
+    model = world.add_worker("m1", MODELS, events=40, event_seconds=0.05)
+    await world.add_gateway("e1")
+    second = await world.add_gateway("e2")
+    assert await world.submit("e1", make_job(1), "j1") == 202
+    await world.wait_for(lambda: second.jobs.table.find("j1"))
+    job = second.jobs.table.find("j1")
+    await world.wait_for(lambda: job.get_progress("i0"))
+    await world.kill("e1")
+    (result,) = await world.read_all("e2", "j1", 1)
+    assert result["text"] == make_text("i0", 40)
+    last = model.list_runs()[-1]["headers"]
+    assert int(last["Last-Event-Id"]) >= 8
+    await world.wait_for(lambda: not job.get_progress("i0"))
+
+
+@in_world
+async def test_planned_stop_hands_jobs_over(world: World) -> None:
+    world.add_worker("w1", DESK)
+    model = world.add_worker("m1", MODELS, events=60, event_seconds=0.05)
+    first = await world.add_gateway("e1")
+    second = await world.add_gateway("e2")
+    assert await world.submit("e1", make_job(1), "j1") == 202
+    await world.wait_for(model.list_runs)
+    await asyncio.sleep(0.3)
+    stopping = asyncio.create_task(first._drain())
+    await world.wait_for(second.owner.count_running, timeout=1.5)
+    (result,) = await world.read_all("e2", "j1", 1)
+    assert result["text"] == make_text("i0", 60)
+    await stopping
+
+
+@in_world
+async def test_groups_that_come_again_use_what_was_made(world: World) -> None:
+    world.add_worker("w1", DESK)
+    model = world.add_worker("m1", MODELS, events=40, event_seconds=0.05)
+    gateway = await world.add_gateway("e1")
+    assert await world.submit("e1", make_job(1), "j1") == 202
+    await world.wait_for(lambda: gateway.jobs.table.find("j1"))
+    job = gateway.jobs.table.find("j1")
+    await world.wait_for(lambda: job.get_progress("i0"))
+    assert (await world.send("e1", "DELETE", "/-/lots/j1")).status == 200
+    assert await world.submit("e1", make_job(1, minimum=1), "j2") == 202
+    (result,) = await world.read_all("e1", "j2", 1)
+    assert result["text"] == make_text("i0", 40)
+    assert int(model.list_runs()[-1]["headers"]["Last-Event-Id"]) >= 8
+
+
 @in_world
 async def test_item_that_always_fails_is_given_up_in_bounds(world: World) -> None:
     world.add_worker("w1", DESK)
--- a/buckthornstile/jobs/__init__.py
+++ b/buckthornstile/jobs/__init__.py
@@ -5,6 +5,7 @@
     OwnerClaim,
     encode_claim,
     encode_end,
+    encode_progress,
     encode_result,
     encode_specification,
 )
@@ -33,6 +34,7 @@
     "ScoreCall",
     "encode_claim",
     "encode_end",
+    "encode_progress",
     "encode_result",
     "encode_specification",
 ]
--- a/buckthornstile/jobs/_records.py
+++ b/buckthornstile/jobs/_records.py
@@ -1,15 +1,17 @@
 """How batch jobs are kept in the store.
 
-A key is ``kind/job[/item][/part.parts]``. A value longer than a record holds is
-split; all parts are appended in one call.
+A key is ``kind/job/item/part.parts``. A value longer than a record holds is split;
+all parts are appended in one call. What an item's runs have made so far is appended
+piece by piece: there the part is the number of its first event.
 """
 
 import json
 import zlib
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 
 from buckthornstile.base import AccountId, ProcessName
+from buckthornstile.calls import StreamEvent
 from buckthornstile.jobs._types import (
     ItemId,
     ItemResult,
@@ -21,7 +23,8 @@
 )
 from buckthornstile.topology import ModelName
 
-SPECIFICATION, OWNER, RESULT, END = "s", "o", "r", "e"
+SPECIFICATION, OWNER, RESULT, END, PROGRESS = "s", "o", "r", "e", "p"
+KINDS = frozenset({SPECIFICATION, OWNER, RESULT, END, PROGRESS})
 KEY_ROOM = 256
 """Bytes of a record that its key may take."""
 
@@ -64,7 +67,7 @@
         'i1'
     """
     words = key.split("/")
-    if len(words) != 4 or words[0] not in (SPECIFICATION, OWNER, RESULT, END):
+    if len(words) != 4 or words[0] not in KINDS:
         raise ValueError(f"key {key!r} names no record of a batch job")
     part, _, parts = words[3].partition(".")
     item = ItemId(words[2]) if words[2] else None
@@ -109,6 +112,7 @@
         item.tokens,
         item.group,
         score,
+        item.expected_tokens,
     ]
 
 
@@ -130,7 +134,7 @@
 
 
 def _decode_item(data: list) -> JobItem:
-    name, path, headers, body, tokens, group, score = data
+    name, path, headers, body, tokens, group, score, expected = data
     call = None
     if score:
         call = ScoreCall(score[0], score[1], score[2], bytes.fromhex(score[3]))
@@ -142,6 +146,7 @@
         tokens=tokens,
         group=group,
         score_call=call,
+        expected_tokens=expected,
     )
 
 
@@ -161,6 +166,20 @@
     return ItemResult(item, ResultState(state), text, tuple(versions), score)
 
 
+def encode_progress(
+    job: JobId, item: ItemId, first: int, events: Sequence[StreamEvent]
+) -> JobRecord:
+    """Encodes events of an item; ``first`` is the number of the first one."""
+    data = [[event.id, event.data, event.version] for event in events]
+    key = f"{PROGRESS}/{job}/{item}/{first}.1"
+    return JobRecord(key, json.dumps(data).encode())
+
+
+def decode_progress(value: bytes) -> list[StreamEvent]:
+    """Decodes events of an item."""
+    return [StreamEvent(*fields) for fields in json.loads(value)]
+
+
 def encode_claim(job: JobId, claim: OwnerClaim) -> JobRecord:
     """Encodes who runs a batch job."""
     value = json.dumps([claim.owner, claim.epoch]).encode()
--- a/buckthornstile/jobs/_table.py
+++ b/buckthornstile/jobs/_table.py
@@ -3,13 +3,17 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
+from buckthornstile.calls import StreamEvent
 from buckthornstile.jobs._records import (
     END,
     OWNER,
+    PROGRESS,
     RESULT,
+    SPECIFICATION,
     OwnerClaim,
     RecordKey,
     decode_claim,
+    decode_progress,
     decode_result,
     decode_specification,
     parse_key,
@@ -37,6 +41,7 @@
     specification: JobSpecification
     part: int
     started_at: float
+    progress: dict[ItemId, dict[int, list[StreamEvent]]] = field(default_factory=dict)
     claim: OwnerClaim | None = None
     claim_offset: int = -1
     ended: bool = False
@@ -57,6 +62,21 @@
             if item.id not in self.positions:
                 yield item
 
+    def list_progress_keys(self, item: ItemId) -> list[str]:
+        """Lists the keys of an item's stored events."""
+        return [
+            f"{PROGRESS}/{self.id}/{item}/{first}.1"
+            for first in self.progress.get(item, {})
+        ]
+
+    def get_progress(self, item: ItemId) -> list[StreamEvent]:
+        """Gives the stored events of an item, as far as none is missing."""
+        pieces = self.progress.get(item, {})
+        events: list[StreamEvent] = []
+        while len(events) in pieces:
+            events += pieces[len(events)]
+        return events
+
     def is_finished(self) -> bool:
         """Whether every item is listed or its client ended the job."""
         return self.ended or len(self.results) >= len(self.items)
@@ -126,7 +146,7 @@
         whole = self._join(parsed, key, value)
         if whole is None:
             return
-        if parsed.kind == "s":
+        if parsed.kind == SPECIFICATION:
             self._apply_specification(parsed, part, key, whole, now, wall)
             return
         job = self.jobs.get(parsed.job)
@@ -138,9 +158,14 @@
             return
         self._apply_to_job(job, parsed, offset, key, whole)
 
-    def settle(self) -> None:
-        """Forgets early records whose job never came."""
-        self._early.clear()
+    def find_progress(self, item: JobItem) -> list[StreamEvent]:
+        """Finds the most that any job has stored of an item's text."""
+        found: list[StreamEvent] = []
+        for job in self.jobs.values():
+            if job.items.get(item.id) == item:
+                events = job.get_progress(item.id)
+                found = events if len(events) > len(found) else found
+        return found
 
     def list_expired(self, now: float, lifetime: float) -> list[Job]:
         """Lists the jobs that nobody may ask for any more."""
@@ -190,12 +215,17 @@
                 job.claim, job.claim_offset = claim, offset
         elif parsed.kind == END:
             job.ended = True
+        elif parsed.kind == PROGRESS and parsed.item in job.items:
+            pieces = job.progress.setdefault(parsed.item, {})
+            pieces[parsed.part] = decode_progress(value)
+            return
         elif parsed.kind == RESULT and parsed.item in job.items:
             if parsed.item in job.positions:
                 return
             result = decode_result(parsed.item, value)
             job.positions[parsed.item] = len(job.results)
             job.results.append(result)
+            job.progress.pop(parsed.item, None)
             if result.state is ResultState.COMPLETE:
                 self.finished_items[parsed.item] = (job.items[parsed.item], result)
         self._notify(job)
@@ -205,7 +235,9 @@
         if job is None:
             return
         job.keys.discard(key)
-        if parsed.kind == "s":
+        if parsed.kind == PROGRESS and parsed.item is not None:
+            job.progress.get(parsed.item, {}).pop(parsed.part, None)
+        if parsed.kind == SPECIFICATION:
             del self.jobs[parsed.job]
             for item in job.items:
                 self.finished_items.pop(item, None)
--- a/buckthornstile/jobs/_types.py
+++ b/buckthornstile/jobs/_types.py
@@ -23,7 +23,10 @@
 
 @dataclass(frozen=True, slots=True)
 class JobItem:
-    """One request of a batch job; ``headers`` go to the upstream as they are."""
+    """One request of a batch job; ``headers`` go to the upstream as they are.
+
+    ``expected_tokens`` is the client's estimate of what it generates, or 0.
+    """
 
     id: ItemId
     path: str
@@ -32,6 +35,7 @@
     tokens: int
     group: str = ""
     score_call: ScoreCall | None = None
+    expected_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/buckthornstile/jobs/tests/test_table.py
@@ -0,0 +1,152 @@
+"""The fold of batch jobs: one order of results for all who read."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from buckthornstile.jobs import (
+    ItemId,
+    ItemResult,
+    JobId,
+    JobItem,
+    JobSpecification,
+    JobTable,
+    OwnerClaim,
+    ResultState,
+    ScoreCall,
+    encode_claim,
+    encode_end,
+    encode_result,
+    encode_specification,
+)
+
+JOB = JobId("j1")
+RECORD_BYTES = 700
+
+
+def make_specification(items: int = 4) -> JobSpecification:
+    return JobSpecification(
+        id=JOB,
+        account="mill",
+        host="mill.example",
+        path_prefix="/steps/",
+        submitted_at=1000.0,
+        items=tuple(
+            JobItem(
+                ItemId(f"i{number}"),
+                f"/steps/{number}",
+                (("Model", "llm"),),
+                bytes(range(40)),
+                30,
+                "g",
+                ScoreCall(f"s{number}", "mill.example", "/scores/", b"x"),
+            )
+            for number in range(items)
+        ),
+        model="llm",
+        minimum_version=3,
+        wanted_groups=1,
+        step=7,
+    )
+
+
+def make_result(number: int, length: int = 5) -> ItemResult:
+    return ItemResult(
+        ItemId(f"i{number}"), ResultState.COMPLETE, "é" * length, (3, 4), "sig"
+    )
+
+
+def make_log(order: list[int], length: int = 5) -> list:
+    records = encode_specification(make_specification(), RECORD_BYTES)
+    records.append(encode_claim(JOB, OwnerClaim("e1", 1)))
+    for number in order:
+        records += encode_result(JOB, make_result(number, length), RECORD_BYTES)
+    return records
+
+
+def fold(records: list, table: JobTable | None = None) -> JobTable:
+    table = table or JobTable()
+    for offset, record in enumerate(records):
+        table.apply(0, offset, record.key, record.value, 5.0, wall=1000.0)
+    return table
+
+
+def test_specification_survives_the_store() -> None:
+    job = fold(make_log([])).find(JOB)
+    assert job is not None
+    assert job.specification == make_specification()
+    assert len(encode_specification(make_specification(), 300)) > 1
+
+
+def test_long_results_are_split_and_joined() -> None:
+    job = fold(make_log([2], length=2000)).find(JOB)
+    assert job is not None
+    assert job.results == [make_result(2, 2000)]
+
+
+@settings(derandomize=True, max_examples=200)
+@given(
+    order=st.permutations([0, 1, 2, 3]),
+    repeats=st.lists(st.integers(0, 3), max_size=4),
+    cut=st.integers(0, 8),
+)
+def test_all_readers_list_the_same(order, repeats, cut) -> None:
+    log = make_log(list(order) + repeats)
+    tail = fold(log).find(JOB)
+    assert tail is not None
+    assert [result.item for result in tail.results] == [f"i{one}" for one in order]
+    # One that begins with the newest record of each key and reads on. Results are
+    # stored once, so their newest records keep the order of the log.
+    stored = make_log(list(order))
+    cut = min(cut, len(stored))
+    newest: dict[str, tuple[int, bytes]] = {}
+    for offset, record in enumerate(stored[:cut]):
+        newest[record.key] = (offset, record.value)
+    late = JobTable()
+    for key, (offset, value) in sorted(newest.items(), key=lambda one: one[1][0]):
+        late.apply(0, offset, key, value, 5.0, wall=1000.0)
+    for offset, record in enumerate(stored[cut:], cut):
+        late.apply(0, offset, record.key, record.value, 5.0, wall=1000.0)
+    job = late.find(JOB)
+    assert job is not None
+    assert job.results == tail.results
+
+
+def test_records_before_their_job_are_kept() -> None:
+    log = make_log([1, 0])
+    table = JobTable()
+    for offset, record in reversed(list(enumerate(log))):
+        table.apply(0, offset, record.key, record.value, 5.0, wall=1000.0)
+    job = table.find(JOB)
+    assert job is not None
+    assert [result.item for result in job.results] == ["i1", "i0"]
+    assert job.claim == OwnerClaim("e1", 1)
+
+
+def test_first_specification_holds_and_end_ends() -> None:
+    table = fold(make_log([0]))
+    fold(make_log([]), table)
+    job = table.find(JOB)
+    assert job is not None
+    assert len(job.results) == 1
+    record = encode_end(JOB)
+    table.apply(0, 99, record.key, record.value, 5.0, wall=1000.0)
+    assert job.is_finished()
+
+
+def test_result_of_an_unknown_item_is_left_out() -> None:
+    log = make_log([]) + encode_result(JOB, make_result(77), RECORD_BYTES)
+    job = fold(log).find(JOB)
+    assert job is not None
+    assert job.results == []
+
+
+def test_dropped_job_is_forgotten_and_expires_by_age() -> None:
+    table = fold(make_log([0]))
+    job = table.find(JOB)
+    assert job is not None
+    assert table.list_expired(5.0 + 120.0, 120.0) == []
+    assert table.list_expired(5.0 + 151.0, 120.0) == [job]
+    for key in sorted(job.keys):
+        table.apply(0, 200, key, None, 5.0, wall=1000.0)
+    assert table.find(JOB) is None
+    assert table.finished_items == {}
--- a/buckthornstile/platform/_jobs.py
+++ b/buckthornstile/platform/_jobs.py
@@ -13,7 +13,11 @@
     JobSpecification,
     ScoreCall,
 )
-from buckthornstile.platform._names import CONNECTION_HEADERS, OWN_HEADERS
+from buckthornstile.platform._names import (
+    CONNECTION_HEADERS,
+    EXPECTED_TOKENS,
+    OWN_HEADERS,
+)
 from buckthornstile.topology import ModelName, Route
 
 MAX_ID_LENGTH = 64
@@ -83,6 +87,7 @@
         tokens=int(data.get("tokens") or 0),
         group=str(data.get("group") or ""),
         score_call=call,
+        expected_tokens=_read_expected_tokens(headers),
     )
 
 
@@ -109,6 +114,13 @@
     return json.dumps(data).encode()
 
 
+def _read_expected_tokens(headers: Sequence[tuple[str, str]]) -> int:
+    for name, value in headers:
+        if name.lower() == EXPECTED_TOKENS.lower() and value.isdigit():
+            return int(value)
+    return 0
+
+
 def _is_id(value: object) -> bool:
     return (
         isinstance(value, str)
--- a/buckthornstile/platform/_names.py
+++ b/buckthornstile/platform/_names.py
@@ -11,6 +11,7 @@
 RESUME_AFTER = "Last-Event-Id"
 MODEL = "Model"
 WAIT = "Wait-Ms"
+EXPECTED_TOKENS = "Length-Hint"
 
 # Headers of answers
 SIGNATURE = "Server-Stamp"
--- a/buckthornstile/platform/_operator.py
+++ b/buckthornstile/platform/_operator.py
@@ -116,7 +116,7 @@
 ) -> Upstream:
     """Decodes what an upstream says of itself.
 
-    The entry's ``sequence`` counts its writes, not the orders that it took.
+    The entry's ``sequence`` counts its own writes, not the orders that it took.
 
     Args:
         upstream_id: Its id, which only the record's key holds.
@@ -132,14 +132,14 @@
         service, address, zone = data["service"], data["address"], data["zone"]
         host, _, port = address.rpartition(":")
         cold, slots = data.get("coldRemainingMs", 0), data["slots"]
-        born = data.get("born", 0)
+        born, beat = data.get("born", 0), data.get("sequence", 0)
         models = data.get("models") or ()
         versions = {
             ModelName(one["name"]): WeightVersion(one["version"]) for one in models
         }
     except (KeyError, TypeError, AttributeError) as error:
         raise ValueError(f"upstream entry: {type(error).__name__}: {error}") from error
-    numbers = (cold, slots, born, *versions.values())
+    numbers = (cold, slots, born, beat, *versions.values())
     texts = (service, zone, host, *versions)
     if any(
         isinstance(one, bool) or not isinstance(one, int | float) for one in numbers
@@ -161,5 +161,6 @@
         is_draining=state == DRAINING,
         cold_remaining=cold / 1000,
         born=int(born),
+        beat=int(beat),
         versions=versions,
     )
--- a/buckthornstile/topology/_types.py
+++ b/buckthornstile/topology/_types.py
@@ -96,7 +96,8 @@
     """One back end as it last described itself.
 
     ``born`` is the millisecond of its start: the same id with another ``born``
-    is another incarnation. ``cold_remaining`` is in seconds.
+    is another incarnation. ``beat`` counts what it wrote of itself since then.
+    ``cold_remaining`` is in seconds.
     """
 
     id: UpstreamId
@@ -108,6 +109,7 @@
     is_draining: bool = False
     cold_remaining: float = 0.0
     born: int = 0
+    beat: int = 0
     versions: dict[ModelName, WeightVersion] = field(default_factory=dict)
 
     @property
--- a/buckthornstile/topology/_view.py
+++ b/buckthornstile/topology/_view.py
@@ -1,6 +1,7 @@
 """The fold of what operators and upstreams wrote, as one process knows it."""
 
 from collections.abc import Mapping
+from dataclasses import dataclass
 
 from buckthornstile.base import AccountId, FailureDomain, ServiceName, UpstreamId
 from buckthornstile.topology._types import (
@@ -13,6 +14,22 @@
 
 LAPSE_GRACE = 2.0
 """Seconds after the store's return within which lapsed entries are back."""
+LATE_WRITE = 6.0
+"""Seconds for which the store may still carry out a write that had no answer."""
+RETURN_GAP = 0.5
+"""Seconds between two writes that show that a removed upstream lives: a late write
+comes alone, a living upstream goes on writing."""
+
+
+@dataclass(slots=True)
+class _Trace:
+    """The newest write of an upstream, kept also after its entry is gone."""
+
+    born: int
+    beat: int
+    at: float
+    removed_at: float | None = None
+    return_at: float | None = None
 
 
 class TopologyView:
@@ -33,6 +50,8 @@
         self.upstreams: dict[UpstreamId, Upstream] = {}
         self._lapsing: dict[UpstreamId, float] = {}
         self._cold_until: dict[UpstreamId, float] = {}
+        self._seen_versions: dict[UpstreamId, tuple[int, dict[ModelName, int]]] = {}
+        self._traces: dict[UpstreamId, _Trace] = {}
         self._routes: dict[str, list[Route]] = {}
         self._accounts: dict[str, Account] = {}
 
@@ -70,35 +89,69 @@
         self.named_versions[model] = version
         return True
 
-    def apply_upstream(self, upstream: Upstream, now: float) -> None:
-        """Notes what an upstream says of itself."""
+    def apply_upstream(self, upstream: Upstream, now: float) -> bool:
+        """Notes what an upstream says of itself.
+
+        Returns:
+            False if the entry is older than one seen before, or the first after its
+            removal: the store may carry out a write late.
+        """
+        if not self._is_newest(upstream, now):
+            return False
         self._lapsing.pop(upstream.id, None)
         self.upstreams[upstream.id] = upstream
         if upstream.cold_remaining > 0:
             self._cold_until[upstream.id] = now + upstream.cold_remaining
         else:
             self._cold_until.pop(upstream.id, None)
+        return True
 
-    def remove_upstream(self, upstream_id: UpstreamId, *, until: float = 0.0) -> None:
+    def _is_newest(self, upstream: Upstream, now: float) -> bool:
+        trace = self._traces.get(upstream.id)
+        if trace is None or upstream.born > trace.born:
+            self._traces[upstream.id] = _Trace(upstream.born, upstream.beat, now)
+            return True
+        is_older = (upstream.born, upstream.beat) < (trace.born, trace.beat)
+        if is_older and now - trace.at < LATE_WRITE:
+            return False
+        trace.born, trace.beat, trace.at = upstream.born, upstream.beat, now
+        if trace.removed_at is None or now - trace.removed_at > LATE_WRITE:
+            trace.removed_at = trace.return_at = None
+            return True
+        if trace.return_at is None:
+            trace.return_at = now
+        if now - trace.return_at < RETURN_GAP:
+            return False
+        trace.removed_at = trace.return_at = None
+        return True
+
+    def remove_upstream(
+        self, upstream_id: UpstreamId, now: float, *, until: float = 0.0
+    ) -> None:
         """Takes an upstream out.
 
         Args:
             upstream_id: The upstream whose entry is gone.
+            now: The time in seconds.
             until: Keep it in use until this time, for an entry that may have
                 lapsed only because the store was away.
         """
         if until and upstream_id in self.upstreams:
             self._lapsing.setdefault(upstream_id, until)
             return
-        self._lapsing.pop(upstream_id, None)
+        lapsed = self._lapsing.pop(upstream_id, None) is not None
+        trace = self._traces.get(upstream_id)
+        if trace is not None and not lapsed:
+            trace.removed_at, trace.return_at = now, None
         self._cold_until.pop(upstream_id, None)
+        self._seen_versions.pop(upstream_id, None)
         self.upstreams.pop(upstream_id, None)
 
     def expire_lapsed(self, now: float) -> list[UpstreamId]:
         """Takes out lapsed upstreams whose grace has passed, and names them."""
         gone = [name for name, until in self._lapsing.items() if until <= now]
         for name in gone:
-            self.remove_upstream(name)
+            self.remove_upstream(name, now)
         return gone
 
     def replace_upstreams(
@@ -107,7 +160,7 @@
         """Puts a whole list of upstreams in force; missing ones lapse or go."""
         for name in list(self.upstreams):
             if name not in upstreams:
-                self.remove_upstream(name, until=until)
+                self.remove_upstream(name, now, until=until)
         for upstream in upstreams.values():
             self.apply_upstream(upstream, now)
 
@@ -115,6 +168,23 @@
         """Whether an upstream is still cold after its start."""
         return self._cold_until.get(upstream_id, 0.0) > now
 
+    def note_versions(
+        self, upstream_id: UpstreamId, born: int, versions: Mapping[ModelName, int]
+    ) -> None:
+        """Notes versions that an engine was seen to hold before its entry says so."""
+        known_born, known = self._seen_versions.get(upstream_id, (born, {}))
+        if known_born != born:
+            known = {}
+        for model, version in versions.items():
+            known[model] = max(version, known.get(model, 0))
+        self._seen_versions[upstream_id] = (born, known)
+
+    def get_version(self, upstream: Upstream, model: ModelName) -> int:
+        """The version of a model that an engine holds; 0 if it has none."""
+        version = int(upstream.versions.get(model, 0))
+        born, seen = self._seen_versions.get(upstream.id, (upstream.born, {}))
+        return max(version, seen.get(model, 0)) if born == upstream.born else version
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Finds the route with the longest prefix that begins the path."""
         for route in self._routes.get(host, ()):
--- a/standins/worker/_application.py
+++ b/standins/worker/_application.py
@@ -40,9 +40,9 @@
     ``reset`` (dropped unanswered, after the run), ``silent`` (no answer for
     ``seconds``), ``truncate`` (half an answer), ``crossed`` (another request's
     answer), ``unsigned`` (success without a signature), ``cut`` (a stream that ends
-    after ``value`` events), ``stall`` (a stream that pauses ``seconds`` there),
-    ``mute_order`` (an order without an answer) and ``late_order`` (one carried out
-    ``seconds`` later).
+    after ``value`` events), ``cut_end`` (after its last one), ``stall`` (a stream
+    that pauses ``seconds`` there), ``mute_order`` (an order without an answer) and
+    ``late_order`` (one carried out ``seconds`` later).
     """
 
     def initialize(
@@ -139,8 +139,9 @@
             self.set_header("Instance-Id", state.id)
             return
         self.set_header("Content-Type", "text/event-stream")
-        self.set_header("Weight-Versions", str(version))
         start = int(self.request.headers.get("Last-Event-Id", "0")) + 1
+        if start <= state.events:
+            self.set_header("Weight-Versions", str(version))
         cut, stall = self.faults.take("cut"), self.faults.take("stall")
         for number in range(start, state.events + 1):
             await asyncio.sleep(state.event_seconds)
@@ -156,6 +157,9 @@
             lines += [f"id: {number}", f"data: {self._make_data(number)}"]
             self.write("\n".join(lines) + "\n\n")
             await self.flush()
+        if self.faults.take("cut_end"):
+            await asyncio.sleep(state.event_seconds)
+            drop_connection(self)
 
     def _make_data(self, number: int) -> str:
         return f"{self.request.headers.get('Request-Id')}-{number}"
