Keep a removed worker only after an outage that the reads have shown; serve metrics

The age of the last successful read was taken as the length of an outage; while reads are held for a record it passes 0.8 s without any failure, so a removal counted as a lapse and the worker was kept for two seconds.

Change: an outage is one that failed reads have shown, of 1.8 heartbeats or more; lapsed entries are looked through every 0.1 s. A store call without an answer drops all idle connections. The planner orders loads of the model with the fewest able engines first and counts doubtful engines as loading. Metrics: latencies by account and class, events by name, gauges.

Test: test_removed_workers_are_left_at_once_while_the_store_is_there failed before.

--- a/buckthornstile/duties/_weights.py
+++ b/buckthornstile/duties/_weights.py
@@ -184,7 +184,11 @@
             (one, self._get_engine(one)) for one in self.view.list_usable(service)
         ]
         self._forget_gone()
-        loading = sum(engine.loading_until > now for _, engine in engines)
+        loading = sum(
+            engine.loading_until > now or engine.doubted_at is not None
+            for upstream, engine in engines
+            if not self.is_suspect(upstream)
+        )
         room = math.ceil(LOADING_SHARE * len(engines)) - loading
         assigned: dict[UpstreamId, int] = {}
         wanted: list[_Wanted] = []
@@ -255,8 +259,8 @@
     ) -> list["_Wanted"]:
         """Lists the loads that a model wants now.
 
-        Those of a model that no engine can serve come first, then those of engines
-        that are too old to serve it, then those that its credit allows.
+        Those of the model that the fewest engines can serve come first; those that
+        only its credit allows come last.
         """
         lags = [
             (named - engine.versions.get(model, 0), upstream, engine)
@@ -273,12 +277,10 @@
                 continue
             load = PlannedLoad(upstream.id, model, named)
             if lag > ALLOWED_LAG:
-                able_then = able + sum(one.rank[0] < 2 for one in wanted)
-                rank = (int(able_then > 0), -lag)
-                wanted.append(_Wanted(load, engine, rank))
+                wanted.append(_Wanted(load, engine, (able + len(wanted), -lag)))
             # Engines that can serve the step now must not all load at once.
             elif credit - len(wanted) >= 1 and optional + 1 < able:
-                wanted.append(_Wanted(load, engine, (2, -lag)))
+                wanted.append(_Wanted(load, engine, (len(chosen), -lag)))
                 optional += 1
         return wanted
 
--- /dev/null
+++ b/buckthornstile/duties/tests/test_usage_windows.py
@@ -0,0 +1,46 @@
+"""Counts of windows, and which are to be sealed."""
+
+from buckthornstile.duties import DutyFold, SealRecord, UsageCounter, UsageTotals
+
+
+def test_newest_counts_of_a_process_replace_its_earlier_ones() -> None:
+    totals = UsageTotals(5.0)
+    totals.apply("e1", {10: {"mill": 1}})
+    totals.apply("e1", {10: {"mill": 3}, 11: {"mill": 1}})
+    totals.apply("e2", {10: {"mill": 2, "quay": 1}})
+    assert totals.sum_window(10) == {"mill": 5, "quay": 1}
+    assert totals.sum_window(99) == {}
+
+
+def test_windows_are_sealed_once_they_are_over_and_while_due() -> None:
+    totals = UsageTotals(5.0)
+    for window in range(8, 13):
+        totals.apply("e1", {window: {"mill": 1}})
+    assert totals.find_unsealed({}, 61.0, 10.0) == [10]
+    assert totals.find_unsealed({}, 62.3, 10.0) == [10, 11]
+    seals = {11: SealRecord(11, {})}
+    assert totals.find_unsealed(seals, 62.3, 10.0) == [10]
+    assert totals.find_unsealed({}, 80.0, 10.0) == [14]
+
+
+def test_window_without_requests_is_sealed_too() -> None:
+    totals = UsageTotals(5.0)
+    totals.apply("e1", {10: {"mill": 1}})
+    assert totals.find_unsealed({}, 68.0, 30.0) == [10, 11, 12]
+    assert totals.sum_window(11) == {}
+
+
+def test_first_seal_holds() -> None:
+    fold = DutyFold(lambda: 0.0)
+    fold.apply(0, SealRecord(10, {"mill": 1}))
+    fold.apply(1, SealRecord(10, {"mill": 2}))
+    fold.apply(2, SealRecord(10, {"mill": 9}, is_reported=True))
+    assert fold.seals[10] == SealRecord(10, {"mill": 1}, is_reported=True)
+
+
+def test_counter_keeps_the_window_in_which_a_request_began() -> None:
+    counter = UsageCounter(5.0)
+    counter.count("mill", 54.99)
+    counter.count("mill", 55.0)
+    assert counter.get_counts(56.0) == {10: {"mill": 1}, 11: {"mill": 1}}
+    assert counter.get_counts(90.0) == {}
--- a/buckthornstile/gateway/_control.py
+++ b/buckthornstile/gateway/_control.py
@@ -34,7 +34,7 @@
     encode_order,
     encode_report_call,
 )
-from buckthornstile.topology import TopologyView
+from buckthornstile.topology import TopologyView, Upstream
 
 DUTY_TOPIC = "duties"
 DUTY_WAIT = 0.5
@@ -67,6 +67,7 @@
         turn_bound: Seconds in which the holder may not change there and back.
         usage_due: Seconds after its end in which a window is to be reported.
         on_news: Called when an engine was found to hold a new version.
+        note_failure: Called when an engine did not answer.
     """
 
     def __init__(
@@ -85,6 +86,7 @@
         turn_bound: float,
         usage_due: float,
         on_news: Callable[[], None],
+        note_failure: Callable[[Upstream], None],
     ) -> None:
         self.name = name
         self.node = node
@@ -98,6 +100,7 @@
         self.wall_clock = wall_clock
         self.usage_due = usage_due
         self.on_news = on_news
+        self.note_failure = note_failure
         self.fold = DutyFold(clock)
         self.lease = Lease(name, self.fold, clock=clock, turn_bound=turn_bound)
         self.is_leaving = False
@@ -271,7 +274,8 @@
                 )
             report = decode_report(answer)
         except (TimeoutError, BuckthornstileError, ValueError) as error:
-            log_event("engine.report_failed", upstream=name, reason=error)
+            self.note_failure(upstream)
+            log_event("engine.report_failed", upstream=name, reason=repr(error))
             return
         self.planner.note_report(
             upstream.id, report.versions, report.order_count, report.is_busy
--- a/buckthornstile/gateway/_daemon.py
+++ b/buckthornstile/gateway/_daemon.py
@@ -23,6 +23,7 @@
 from buckthornstile.gateway._item_work import JobTools
 from buckthornstile.gateway._job_owner import JobOwner
 from buckthornstile.gateway._job_store import JobStore
+from buckthornstile.gateway._metrics import GatewayMetrics
 from buckthornstile.gateway._presence import (
     PRESENCE_PERIOD,
     PRESENCE_TOPIC,
@@ -35,6 +36,7 @@
 from buckthornstile.gateway._watch import Watch
 from buckthornstile.jobs import Job
 from buckthornstile.logs import log_event, set_up_event_lines
+from buckthornstile.metrics import Counters
 from buckthornstile.platform import (
     DutyClient,
     NodeSettings,
@@ -78,6 +80,8 @@
         self.store = StoreClient(settings.store_address)
         self.pool = ConnectionPool()
         self.presence = PresenceTable(self.clock)
+        self.metrics = GatewayMetrics()
+        self.counters = Counters()
         self.counter = UsageCounter(settings.usage_window)
         self.totals = UsageTotals(settings.usage_window)
         self._make_upstream_side()
@@ -118,6 +122,7 @@
         log_event("process.start", name=self.name, zone=self.settings.zone)
         self.client_door.listen()
         self.ready_door.listen()
+        self.metrics_door.listen()
         tasks = [
             asyncio.create_task(self._keep_running(work))
             for work in (
@@ -144,6 +149,7 @@
         self.owner.stop_all()
         await self.client_door.close()
         await self.ready_door.close()
+        await self.metrics_door.close()
         self.pool.close()
         self.store.close()
 
@@ -160,7 +166,11 @@
             slack=settings.cold_slack,
         )
         self.watch = Watch(
-            self.store, self.view, clock=self.clock, on_change=self.fleet.forget_gone
+            self.store,
+            self.view,
+            clock=self.clock,
+            on_change=self.fleet.forget_gone,
+            heartbeat=settings.heartbeat,
         )
         self.sender = CallSender(
             self.fleet,
@@ -186,6 +196,7 @@
             streams=StreamRunner(self.fleet, self.pool),
             sender=self.sender,
             store=self.jobs,
+            metrics=self.metrics,
             clock=self.clock,
         )
         self.owner = JobOwner(
@@ -216,6 +227,7 @@
             turn_bound=settings.turn_bound,
             usage_due=settings.usage_due,
             on_news=self._news.set,
+            note_failure=self.fleet.note_failure,
         )
 
     def _make_doors(self) -> None:
@@ -228,6 +240,7 @@
                 jobs=self.jobs,
                 clock=self.clock,
                 wall_clock=self.read_wall,
+                metrics=self.metrics,
                 key_bound=settings.key_bound,
                 fails_closed=settings.fails_closed,
             )
@@ -238,12 +251,30 @@
         self.ready_door = Door(
             self._answer_ready, settings.ready_address, idle_timeout=IDLE_TIMEOUT
         )
+        self.metrics_door = Door(
+            self._answer_metrics, settings.metrics_address, idle_timeout=IDLE_TIMEOUT
+        )
 
     # Callbacks
 
     async def _answer_ready(self, request: ClientRequest) -> Reply:
         return Reply(200 if self.is_ready() else 503)
 
+    async def _answer_metrics(self, request: ClientRequest) -> Reply:
+        gauges = {
+            "open_requests": self.client_door.open,
+            "jobs_running": self.owner.count_running(),
+            "jobs_kept": len(self.jobs.table.jobs),
+            "upstreams_known": len(self.view.upstreams),
+            "configuration_version": getattr(self.view.configuration, "version", 0),
+            "configuration_age_seconds": self.watch.operator.get_age(),
+            "jobs_age_seconds": max(tail.get_age() for tail in self.jobs.tails),
+            "holds_lease": float(self.control.lease.holds()),
+            "ready": float(self.is_ready()),
+        }
+        text = self.metrics.render(self.counters, gauges)
+        return Reply(200, text.encode(), (("Content-Type", "text/plain"),))
+
     def _note_job(self, job: Job) -> None:
         self.owner.note_change(job)
 
@@ -325,5 +356,7 @@
 def run_gateway() -> None:
     """Runs a gateway until it is told to stop."""
     settings = read_node_settings()
-    set_up_event_lines(settings.name)
-    asyncio.run(Gateway(settings).run())
+    handler = set_up_event_lines(settings.name)
+    gateway = Gateway(settings)
+    gateway.counters = handler.counters
+    asyncio.run(gateway.run())
--- a/buckthornstile/gateway/_handlers.py
+++ b/buckthornstile/gateway/_handlers.py
@@ -16,6 +16,7 @@
 from buckthornstile.calls import ClientRequest, PlannedCall, Reply
 from buckthornstile.gateway._calls import CallSender
 from buckthornstile.gateway._job_store import JobStore
+from buckthornstile.gateway._metrics import GatewayMetrics
 from buckthornstile.gateway._watch import Watch
 from buckthornstile.jobs import Job, JobId
 from buckthornstile.logs import log_event
@@ -30,6 +31,8 @@
 """Seconds in which a process makes sure that it knows no such job."""
 STALE_TIME = 1.2
 """Seconds without the store after which the end of a job's results is not known."""
+OPEN_ACCOUNT = AccountId("open")
+"""Stands for the callers of open routes in metrics."""
 DEFAULT_TIME = 10.0
 ANSWER_MARGIN = 0.02
 """Seconds before the client's deadline at which a request is given up."""
@@ -45,6 +48,7 @@
     jobs: JobStore
     clock: Callable[[], float]
     wall_clock: Callable[[], float]
+    metrics: GatewayMetrics
     key_bound: float
     fails_closed: bool
 
@@ -148,6 +152,9 @@
             started_at + time,
         )
         answer = await self.tools.sender.send(planned)
+        self.tools.metrics.record_call(
+            account.name if account else OPEN_ACCOUNT, loop.time() - started_at
+        )
         log_event(
             "call.answered",
             request=request.id,
--- a/buckthornstile/gateway/_item_work.py
+++ b/buckthornstile/gateway/_item_work.py
@@ -9,6 +9,7 @@
 from buckthornstile.gateway._calls import CallSender
 from buckthornstile.gateway._fleet import Fleet, Place
 from buckthornstile.gateway._job_store import JobStore
+from buckthornstile.gateway._metrics import GatewayMetrics
 from buckthornstile.gateway._streams import Progress, RunEnd, StreamRunner
 from buckthornstile.jobs import ItemResult, Job, JobItem, ResultState, ScoreCall
 from buckthornstile.logs import log_event
@@ -37,6 +38,7 @@
     streams: StreamRunner
     sender: CallSender
     store: JobStore
+    metrics: GatewayMetrics
     clock: Callable[[], float]
 
 
@@ -233,12 +235,17 @@
                 return self._give_up("score")
             score = scored
         now = self.context.tools.clock()
+        started_at = self.context.job.started_at
+        account = self.context.job.specification.account
+        metrics = self.context.tools.metrics
+        metrics.record_item(account, now - started_at)
+        metrics.record_place(account, self.began_at - started_at)
         log_event(
             "item.done",
             job=self.context.job.id,
             item=self.item.id,
             group=self.item.group,
-            waited=self.began_at - self.context.job.started_at,
+            waited=self.began_at - started_at,
             text_seconds=text_at - self.began_at,
             score_seconds=now - text_at,
             events=len(self.progress.events),
--- a/buckthornstile/gateway/_watch.py
+++ b/buckthornstile/gateway/_watch.py
@@ -25,8 +25,11 @@
 UPSTREAM_WAIT = 0.5
 UPSTREAM_PAUSE = 0.12
 """Seconds between reads; all upstreams write about once a second."""
-LAPSE_OUTAGE = 0.8
-"""Seconds without the store after which entries may have lapsed meanwhile."""
+LAPSE_BEATS = 1.8
+"""Heartbeats without the store after which entries may have lapsed: they do after
+three, of which one may have passed before."""
+EXPIRY_PERIOD = 0.1
+"""Seconds between two looks for lapsed entries whose grace has passed."""
 
 
 class Watch:
@@ -37,6 +40,7 @@
         view: The view to keep.
         clock: Gives the time in seconds; it must go on while suspended.
         on_change: Called after upstreams or named versions changed.
+        heartbeat: Seconds between two writes of an upstream.
     """
 
     def __init__(
@@ -46,7 +50,9 @@
         *,
         clock: Callable[[], float],
         on_change: Callable[[], None],
+        heartbeat: float,
     ) -> None:
+        self.heartbeat = heartbeat
         self.view = view
         self.clock = clock
         self.on_change = on_change
@@ -69,7 +75,6 @@
             pause=UPSTREAM_PAUSE,
             on_record=self._apply_upstream_record,
             on_newest=self._apply_all_upstreams,
-            on_read=self._expire,
         )
 
     def is_loaded(self) -> bool:
@@ -82,6 +87,7 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(self.operator.run())
             group.create_task(self.upstreams.run())
+            group.create_task(self._expire_lapsed())
 
     def _apply_all_operator(self, records: list[StoredRecord]) -> None:
         zones = {
@@ -180,14 +186,17 @@
     def _get_lapse_end(self, now: float) -> float:
         """Until when a missing entry may have lapsed while the store was away."""
         tail = self.upstreams
-        away = now - tail.fresh_at
-        if tail.is_loaded and away > LAPSE_OUTAGE:
+        lost_at = tail.lost_at
+        outage = LAPSE_BEATS * self.heartbeat
+        if tail.is_loaded and lost_at is not None and now - lost_at > outage:
             self._lapse_until = now + LAPSE_GRACE
         return self._lapse_until if self._lapse_until > now else 0.0
 
-    def _expire(self) -> None:
-        for name in self.view.expire_lapsed(self.clock()):
-            log_event("upstream.lapsed", upstream=name)
+    async def _expire_lapsed(self) -> None:
+        while True:
+            await asyncio.sleep(EXPIRY_PERIOD)
+            for name in self.view.expire_lapsed(self.clock()):
+                log_event("upstream.lapsed", upstream=name)
 
 
 def _differs(known: Upstream, upstream: Upstream) -> bool:
--- a/buckthornstile/gateway/tests/test_gateway.py
+++ b/buckthornstile/gateway/tests/test_gateway.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from buckthornstile.exchanges import OutgoingRequest
 from buckthornstile.gateway.tests.world import (
     DESK,
     HOST,
@@ -658,6 +659,24 @@
     assert (await world.call("e1", "r2")).status == 503
 
 
+@in_world
+async def test_removed_workers_are_left_at_once_while_the_store_is_there(
+    world: World,
+) -> None:
+    names = [f"w{number}" for number in range(6)]
+    for name in names:
+        world.add_worker(name, DESK)
+    gateway = await world.add_gateway("e1")
+    await asyncio.sleep(1.0)
+    for name in names:
+        # Each removal meets another moment of a read that is held.
+        await asyncio.sleep(0.45)
+        world.workers[name].remove_entry()
+        await world.wait_for(
+            lambda name=name: name not in gateway.view.upstreams, timeout=1.0
+        )
+
+
 @in_world
 async def test_entry_of_another_writer_names_no_worker(world: World) -> None:
     world.add_worker("w1", DESK)
@@ -697,3 +716,17 @@
     windows = [entry["body"]["window"] for entry in reports]
     assert len(set(windows)) == len(windows)
     assert len({entry["holder"] for entry in reports}) == 1
+
+
+@in_world
+async def test_metrics_tell_latencies_and_ages(world: World) -> None:
+    world.add_worker("w1", DESK)
+    gateway = await world.add_gateway("e1")
+    assert (await world.call("e1", "r1")).status == 200
+    address = gateway.settings.metrics_address
+    request = OutgoingRequest("GET", "/metrics", [("Host", address)])
+    answer = await world.pool.exchange(address, request)
+    text = bytes(answer.body).decode()
+    assert 'account_request_duration_seconds_count{account="mill"} 1' in text
+    assert "buckthornstile_ready 1" in text
+    assert "buckthornstile_configuration_version 3" in text
--- a/buckthornstile/gateway/tests/world.py
+++ b/buckthornstile/gateway/tests/world.py
@@ -191,6 +191,8 @@
             {
                 "node": name,
                 "zone": "bench-a",
+                "heartbeatMs": 500,
+                "internalPorts": [find_port()],
                 "listen": {
                     "front": f"127.0.0.1:{find_port()}",
                     "ready": f"127.0.0.1:{find_port()}",
--- a/buckthornstile/logs/_event_lines.py
+++ b/buckthornstile/logs/_event_lines.py
@@ -9,19 +9,23 @@
 import logbook
 
 from buckthornstile.base import ProcessName
+from buckthornstile.metrics import CounterName, Counters
 
 LINES_PER_SECOND = 150
 """Lines a second that a process writes; further ones are counted only."""
 BURST_LINES = 600
 MAX_VALUE_LENGTH = 200
+EVENTS = CounterName("events")
+LEFT_OUT = CounterName("log_lines_left_out")
 _LOGGER = logbook.Logger("buckthornstile.events")
 
 
 class EventLineHandler(logbook.Handler):
     """Writes event lines to a descriptor and never waits for its reader.
 
-    Lines beyond the rate, and those that a full pipe does not take, are left out;
-    the next line that is written says how many in ``left_out``.
+    Each event is counted by its name. Lines beyond the rate, and those that a full
+    pipe does not take, are left out; the next line that is written says how many in
+    ``left_out``.
 
     Args:
         process: The name that each line carries.
@@ -41,18 +45,20 @@
         self.descriptor = sys.stdout.fileno() if descriptor is None else descriptor
         self.clock = clock
         self.left_out = 0
+        self.counters = Counters()
         self._tokens = float(BURST_LINES)
         self._filled_at = clock()
         os.set_blocking(self.descriptor, False)
 
     def emit(self, record: logbook.LogRecord) -> None:
-        """Writes one line, or counts it as left out."""
+        """Counts the event and writes its line, or counts the line as left out."""
+        self.counters.increment(EVENTS, event=record.extra["event"])
         now = self.clock()
         filled = self._tokens + (now - self._filled_at) * LINES_PER_SECOND
         self._tokens = min(float(BURST_LINES), filled)
         self._filled_at = now
         if self._tokens < 1:
-            self.left_out += 1
+            self._leave_out()
             return
         fields = {
             "time": f"{time.time():.3f}",
@@ -66,12 +72,16 @@
         try:
             written = os.write(self.descriptor, line.encode())
         except OSError:
-            self.left_out += 1
+            self._leave_out()
             return
         self._tokens -= 1
         # A torn line would hide the next one: end it with that one's own start.
         self.left_out = 0 if written == len(line.encode()) else 1
 
+    def _leave_out(self) -> None:
+        self.left_out += 1
+        self.counters.increment(LEFT_OUT)
+
 
 def log_event(event: str, **fields: object) -> None:
     """Writes one line about a decision.
--- a/buckthornstile/platform/_node_settings.py
+++ b/buckthornstile/platform/_node_settings.py
@@ -20,16 +20,17 @@
 class NodeSettings:
     """What the platform tells one process at its start; times in seconds.
 
-    ``stop_grace`` is the time between SIGTERM and SIGKILL, ``key_bound`` the time
-    within which a withdrawn key must stop working, ``turn_bound`` the span in which
-    the holder of a duty may not change there and back.
+    Addresses are ``IP:port``; metrics are served on the first of the ports between
+    processes. ``stop_grace`` is the time between SIGTERM and SIGKILL, ``key_bound``
+    the time within which a withdrawn key must stop working, ``turn_bound`` the span
+    in which the holder of a duty may not change there and back.
     """
 
     name: ProcessName
     zone: FailureDomain
     client_address: str
     ready_address: str
-    metrics_port: int
+    metrics_address: str
     store_address: str
     store_parts: int
     max_record_bytes: int
@@ -81,7 +82,7 @@
         zone=FailureDomain(data["zone"]),
         client_address=listen.get("front", ""),
         ready_address=listen.get("ready", ""),
-        metrics_port=int(ports[0]),
+        metrics_address=f"{data.get('ip', '127.0.0.1')}:{ports[0]}",
         store_address=store["address"],
         store_parts=int(store.get("parts", 1)),
         max_record_bytes=int(store.get("recordBytes", 262144)),
--- a/buckthornstile/platform/_store.py
+++ b/buckthornstile/platform/_store.py
@@ -203,6 +203,8 @@
             async with asyncio.timeout(timeout):
                 return await self._pool.exchange(self.address, request)
         except TimeoutError as error:
+            # Open connections may all have gone silent while new ones work.
+            self._pool.drop_idle(self.address)
             raise PlatformUnavailableError(
                 "the store gave no answer in time"
             ) from error
