--- a/buckthornstile/platform/_store.py
+++ b/buckthornstile/platform/_store.py
@@ -9,7 +9,12 @@
 from typing import Any
 from urllib.parse import urlencode
 
-from buckthornstile.base import BuckthornstileError, ErrorCode, PlatformUnavailableError
+from buckthornstile.base import (
+    BuckthornstileError,
+    ErrorCode,
+    PlatformUnavailableError,
+    Verdict,
+)
 from buckthornstile.exchanges import Answer, ConnectionPool, OutgoingRequest
 
 LENGTH = struct.Struct(">I")
@@ -211,8 +216,7 @@
         except BuckthornstileError as error:
             raise PlatformUnavailableError(
                 f"the store: {error.message}",
-                may_have_taken_effect=error.code is not ErrorCode.UPSTREAM_FAILED
-                or "no connection" not in error.message,
+                may_have_taken_effect=error.verdict is not Verdict.NOT_RUN,
             ) from error
 
 
--- /dev/null
+++ b/buckthornstile/platform/tests/test_store.py
@@ -0,0 +1,148 @@
+"""The store's adapter against the stand-in: conditions, repeats, dropped history."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import pytest
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+
+from buckthornstile.base import PlatformUnavailableError
+from buckthornstile.platform import (
+    AppendRefusedError,
+    HistoryDroppedError,
+    Producer,
+    StoreClient,
+    decode_keyed_record,
+    encode_keyed_record,
+)
+from standins.store import make_application
+
+
+def run_with_store(test: Callable[[StoreClient, Any], Coroutine[Any, Any, None]]):
+    async def play() -> None:
+        application = make_application()
+        sockets = bind_sockets(0, "127.0.0.1")
+        server = HTTPServer(application)
+        server.add_sockets(sockets)
+        store = StoreClient(f"127.0.0.1:{sockets[0].getsockname()[1]}")
+        try:
+            await test(store, application)
+        finally:
+            store.close()
+            server.stop()
+            await server.close_all_connections()
+
+    asyncio.run(play())
+
+
+def test_appended_records_are_read_back() -> None:
+    async def test(store: StoreClient, _: Any) -> None:
+        assert await store.append("t", 0, [b"a", b"", b"ccc"]) == 0
+        assert await store.append("t", 0, [b"d"]) == 3
+        data = await store.read("t", 0, 1)
+        assert data.records == ((1, b""), (2, b"ccc"), (3, b"d"))
+        assert (data.end, data.next_offset) == (4, 4)
+        assert (await store.read("t", 0, 4, wait=0.05)).records == ()
+
+    run_with_store(test)
+
+
+def test_read_waits_for_a_record() -> None:
+    async def test(store: StoreClient, _: Any) -> None:
+        reading = asyncio.create_task(store.read("t", 0, 0, wait=2.0))
+        await asyncio.sleep(0.1)
+        await store.append("t", 0, [b"a"])
+        assert (await reading).records == ((0, b"a"),)
+
+    run_with_store(test)
+
+
+def test_condition_on_the_end() -> None:
+    async def test(store: StoreClient, _: Any) -> None:
+        assert await store.append("t", 0, [b"a"], at=0) == 0
+        with pytest.raises(AppendRefusedError) as caught:
+            await store.append("t", 0, [b"b"], at=0)
+        assert (caught.value.reason, caught.value.expected) == ("end", 1)
+
+    run_with_store(test)
+
+
+def test_repeat_has_its_first_answer_and_older_epochs_are_refused() -> None:
+    async def test(store: StoreClient, _: Any) -> None:
+        first = await store.append("t", 0, [b"a"], producer=Producer("p", 1, 0))
+        again = await store.append("t", 0, [b"x"], producer=Producer("p", 1, 0))
+        assert first == again
+        with pytest.raises(AppendRefusedError) as caught:
+            await store.append("t", 0, [b"b"], producer=Producer("p", 1, 7))
+        assert (caught.value.reason, caught.value.expected) == ("sequence", 1)
+        await store.append("t", 0, [b"c"], producer=Producer("p", 2, 0))
+        with pytest.raises(AppendRefusedError) as caught:
+            await store.append("t", 0, [b"d"], producer=Producer("p", 1, 1))
+        assert caught.value.reason == "fenced"
+        records = (await store.read("t", 0, 0)).records
+        assert [record for _, record in records] == [b"a", b"c"]
+
+    run_with_store(test)
+
+
+@pytest.mark.parametrize(
+    ("kind", "may_have_taken_effect"),
+    [("busy", False), ("many", False), ("reset", True), ("lose_answer", True)],
+)
+def test_failures_say_whether_they_may_have_taken_effect(
+    kind: str, may_have_taken_effect: bool
+) -> None:
+    async def test(store: StoreClient, application: Any) -> None:
+        application.faults.add({"kind": kind, "target": "append", "count": 1})
+        with pytest.raises(PlatformUnavailableError) as caught:
+            await store.append("t", 0, [b"a"])
+        assert caught.value.may_have_taken_effect is may_have_taken_effect
+
+    run_with_store(test)
+
+
+def test_refused_connection_had_no_effect() -> None:
+    async def test(_: StoreClient, __: Any) -> None:
+        with pytest.raises(PlatformUnavailableError) as caught:
+            await StoreClient("127.0.0.1:1").append("t", 0, [b"a"])
+        assert caught.value.may_have_taken_effect is False
+
+    run_with_store(test)
+
+
+def test_silence_ends_with_the_timeout() -> None:
+    async def test(store: StoreClient, application: Any) -> None:
+        application.faults.add({"kind": "silent", "seconds": 5, "count": 1})
+        with pytest.raises(PlatformUnavailableError):
+            await store.read("t", 0, 0, timeout=0.2)
+
+    run_with_store(test)
+
+
+def test_newest_of_each_key_outlasts_history() -> None:
+    async def test(store: StoreClient, application: Any) -> None:
+        records = [encode_keyed_record(f"k{n % 600:03}", b"%d" % n) for n in range(900)]
+        await store.append("keyed.t", 0, records)
+        await store.append("keyed.t", 0, [encode_keyed_record("k001", b"")])
+        application.log.get("keyed.t", 0).drop_history()
+        newest, end = await store.read_newest("keyed.t", 0)
+        values = {record.key: record.value for record in newest}
+        assert end == 901
+        assert len(values) == 599
+        assert values["k000"] == b"600"
+        assert values["k599"] == b"599"
+        with pytest.raises(HistoryDroppedError) as caught:
+            await store.read("keyed.t", 0, 5)
+        assert caught.value.first == 901
+
+    run_with_store(test)
+
+
+def test_keyed_record_without_value_drops_its_key() -> None:
+    record = decode_keyed_record(3, encode_keyed_record("k", b""))
+    assert (record.key, record.value) == ("k", None)
+    for data in (b"", b"\x05ab"):
+        with pytest.raises(ValueError, match="no key"):
+            decode_keyed_record(3, data)
