Prefer an engine that holds a group's prompt only if it is hardly more loaded

Each further request at an engine slows all its streams, and a whole group went to one engine while others stood idle.

Ruled out: waits before the first event (0.01 s) and scores (0.11 s at the median) as the main part.

Change: the engine of the group's first item is preferred only while it has at most two requests more than the best one and is not slow.

--- a/buckthornstile/gateway/_fleet.py
+++ b/buckthornstile/gateway/_fleet.py
@@ -21,6 +21,9 @@
 """A pace that many times the median of its peers counts as slow."""
 ACTIVE_TIME = 0.3
 """Seconds for which an upstream that sent something is not taken as silent."""
+NEAR_LOAD = 2.0
+"""Requests more than at the best upstream with which a preferred one is chosen: a
+shared prompt saves less than a crowded engine costs."""
 COLD_WINDOW = 1.05
 """Seconds over which starts at a cold upstream are counted; one and a margin for
 the difference of delays."""
@@ -138,16 +141,25 @@
         ranked = sorted(usable, key=lambda one: self._rank(one, now, median, avoided))
         best = ranked[0]
         for one in usable:
-            if one.id != preferred or one.id in avoided:
-                continue
-            seen = self.get(one)
-            is_fit = seen.ejected_until <= now and seen.refused_until <= now
-            has_place = self.has_place(one)
-            is_slow = median is not None and (seen.pace or 0) >= SLOW_RATIO * median
-            if is_fit and has_place and not is_slow:
+            if one.id == preferred and self._is_near(one, best, now, avoided):
                 return one
         return best
 
+    def _is_near(
+        self, upstream: Upstream, best: Upstream, now: float, avoided: Collection[str]
+    ) -> bool:
+        """Whether an upstream is hardly worse than the best one."""
+        seen = self.get(upstream)
+        if seen.ejected_until > now or seen.refused_until > now:
+            return False
+        if upstream.id in avoided or not self.has_place(upstream):
+            return False
+        pace, best_pace = seen.pace, self.get(best).pace
+        if pace and best_pace and pace >= SLOW_RATIO * best_pace:
+            return False
+        further = self._estimate_load(upstream, now) - self._estimate_load(best, now)
+        return further <= NEAR_LOAD
+
     def has_place(self, upstream: Upstream) -> bool:
         """Whether an upstream seems to have a free place."""
         return self._estimate_load(upstream, self.clock()) < upstream.slots
