Reset connections of exchanges that are given up; back off from engines that refuse

A given-up exchange was closed, so its request, held up by the cut, was still sent when the cut healed.

Ruled out: a tail that stayed behind (all had returned 1.0 s after the cut).

Change: a connection that is not kept is reset.

Test: test_exchange_that_is_given_up_resets_its_connection failed before (end, not reset).

--- a/buckthornstile/exchanges/_exchange.py
+++ b/buckthornstile/exchanges/_exchange.py
@@ -4,6 +4,7 @@
 import ipaddress
 import logging
 import socket
+import struct
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
@@ -30,6 +31,8 @@
 CHUNK_BYTES = 64 << 10
 MAX_ANSWER_BYTES = 64 << 20
 INFORMATIONAL_STATUS_END = 200
+NO_LINGER = struct.pack("ii", 1, 0)
+"""On, for no time: closing resets the connection."""
 
 # Answers that fail to parse are counted and reported by the caller.
 logging.getLogger("tornado.general").setLevel(logging.CRITICAL)
@@ -183,7 +186,7 @@
             return answer
         finally:
             if not kept:
-                stream.close()
+                _reset(stream)
 
     def drop_idle(self, address: str) -> None:
         """Closes the idle connections to a peer."""
@@ -267,6 +270,17 @@
         return False
 
 
+def _reset(stream: IOStream) -> None:
+    """Closes a connection so that no byte of it arrives any more.
+
+    After a plain close, a request that a partition holds up would still be sent
+    when the partition heals.
+    """
+    if not stream.closed():
+        stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+    stream.close()
+
+
 def _consume_error(sent: "asyncio.Future[None]") -> None:
     # A write that fails shows again as an answer that never comes.
     if not sent.cancelled():
--- a/buckthornstile/gateway/_item_work.py
+++ b/buckthornstile/gateway/_item_work.py
@@ -18,7 +18,8 @@
 FAILURE_PAUSE = 0.05
 """Seconds before an item that failed is run again."""
 REFUSAL_PAUSE = 0.02
-"""Seconds before an item that was refused is run again."""
+"""Seconds before an item that was refused is run again; doubles with each one."""
+LONGEST_REFUSAL_PAUSE = 0.2
 SCORE_TIME = 2.0
 """Seconds for one call that scores an item."""
 SCORE_PAUSE = 0.1
@@ -89,6 +90,7 @@
     progress: Progress = field(default_factory=Progress)
     avoided: list[UpstreamId] = field(default_factory=list)
     failures: int = 0
+    refusals: int = 0
     saved: int = 0
     runs: list[str] = field(default_factory=list)
     began_at: float = 0.0
@@ -140,8 +142,11 @@
         self, upstream: Upstream, end: RunEnd, events_before: int
     ) -> None:
         if end is RunEnd.REFUSED:
-            await asyncio.sleep(REFUSAL_PAUSE)
+            pause = REFUSAL_PAUSE * 2**self.refusals
+            self.refusals += 1
+            await asyncio.sleep(min(LONGEST_REFUSAL_PAUSE, pause))
             return
+        self.refusals = 0
         log_event(
             "item.run_ended",
             job=self.context.job.id,
