Tell the story of one id from logs; model-check owners and the lease on the store's stand-in

Machines for the owners of a job (over the stand-in's partition: lost and late appends, dropped history, deaths) and for the lease, both in make fuzz.

Proof of the checks: without producers' epochs the ownership machine fails; with an act time of the whole turn bound, or claims after 0.2 of it, the test of frozen holders fails (the random machine alone found only the act time of twice the bound).

--- a/benchmarks/fuzz.py
+++ b/benchmarks/fuzz.py
@@ -23,6 +23,8 @@
     "guard": "buckthornstile.guard.tests.test_guard_machine:GuardMachine",
     "samples": "buckthornstile.samples.tests.test_delivery:SamplesMachine",
     "swaps": "buckthornstile.weights.tests.test_weights:SwapMachine",
+    "duty": "buckthornstile.duties.tests.test_lease_machine:LeaseMachine",
+    "ownership": "buckthornstile.jobs.tests.test_ownership_machine:OwnershipMachine",
     "queue": "buckthornstile.queueing.tests.test_properties:QueueMachine",
 }
 
--- a/buckthornstile/commands/_main.py
+++ b/buckthornstile/commands/_main.py
@@ -32,12 +32,13 @@
 )
 from buckthornstile.commands._exit import ExitCode, get_exit_code
 from buckthornstile.commands._keys import add_key, drain, restore, withdraw_key
+from buckthornstile.commands._story import tell_story
 from buckthornstile.commands._views import explain, show_status, show_usage
 from buckthornstile.logs import hide_keys
 
 NAME = "buckthornstile"
 HELP_FLAGS = ("-h", "--help")
-BOOLEAN_FLAGS = ("--json", "--allow_removal")
+BOOLEAN_FLAGS = ("--json", "--allow_removal", "--context")
 
 Command = Callable[..., None]
 COMMANDS: dict[str, Command] = {
@@ -51,6 +52,7 @@
     "restore": restore,
     "status": show_status,
     "explain": explain,
+    "story": tell_story,
     "usage": show_usage,
     "settings check": check_settings,
     "settings document": document_settings,
--- a/buckthornstile/duties/tests/test_lease_machine.py
+++ b/buckthornstile/duties/tests/test_lease_machine.py
@@ -51,18 +51,34 @@
         self.late: list[tuple[int, bytes]] = []
         self.acts: list[tuple[float, str, int]] = []
 
-    @rule(seconds=st.sampled_from([0.05, 0.2, 0.4, 1.0, 2.5, 4.0]))
-    def pass_time(self, seconds: float) -> None:
-        self.now += seconds
+    @rule(
+        name=st.sampled_from(NAMES),
+        outcome=st.sampled_from(["answered", "answered", "lost", "late", "slow"]),
+        wait=st.sampled_from([0.0, 0.0, 0.3, 0.9, 2.5]),
+        reads=st.booleans(),
+        acts=st.booleans(),
+    )
+    def turn(
+        self, name: str, outcome: str, wait: float, reads: bool, acts: bool
+    ) -> None:
+        """Time passes; a process may read, writes what is due, and may act."""
+        self.now += wait
+        if reads:
+            self.read(name)
+        self.write(name, outcome)
+        if acts:
+            self.act(name)
+
+    @rule(wait=st.sampled_from([0.0, 0.2, 1.0]))
+    def all_read(self, wait: float) -> None:
+        """Time passes and all processes read."""
+        self.now += wait
+        for name in NAMES:
+            self.read(name)
 
-    @rule(name=st.sampled_from(NAMES))
     def read(self, name: str) -> None:
         self.processes[name].read_log(self.log)
 
-    @rule(
-        name=st.sampled_from(NAMES),
-        outcome=st.sampled_from(["answered", "lost", "late", "slow"]),
-    )
     def write(self, name: str, outcome: str) -> None:
         process = self.processes[name]
         record = process.lease.choose_record()
@@ -93,7 +109,6 @@
         self.processes[name] = Process(self, name)
         self.processes[name].read_log(self.log)
 
-    @rule(name=st.sampled_from(NAMES))
     def act(self, name: str) -> None:
         process = self.processes[name]
         if process.lease.holds():
@@ -164,3 +179,24 @@
     machine.now += 10.0
     follower.fold.note_return()
     assert follower.lease.choose_record() is None
+
+
+def test_frozen_holders_never_act_beside_their_successors() -> None:
+    """Each holder in turn stops reading and writing, and acts while it may."""
+    machine = LeaseMachine()
+    machine.start()
+    machine.write("e1", "answered")
+    for frozen, successor in (("e1", "e2"), ("e2", "e1"), ("e1", "e2")):
+        machine.read(successor)
+        machine.write(successor, "answered")
+        for _ in range(round(1.5 * TURN_BOUND / 0.05)):
+            machine.now += 0.05
+            machine.act(frozen)
+            machine.read(successor)
+            machine.write(successor, "answered")
+            machine.act(successor)
+        machine.read(frozen)
+    assert {name for _, name, _ in machine.acts} == {"e1", "e2"}
+    machine.terms_only_rise()
+    machine.a_term_has_one_holder()
+    machine.no_turn_there_and_back_within_the_bound()
--- a/buckthornstile/gateway/_handlers.py
+++ b/buckthornstile/gateway/_handlers.py
@@ -73,6 +73,7 @@
                 reason=error.message,
                 verdict=error.verdict.value,
                 status=reply.status,
+                configuration=getattr(self.tools.view.configuration, "version", None),
                 store_age=self.tools.watch.operator.get_age(),
             )
             return reply
