--- a/buckthornstile/commands/_main.py
+++ b/buckthornstile/commands/_main.py
@@ -29,6 +29,7 @@
     document_settings,
     run_agent,
     run_entry,
+    run_platform_gateway,
 )
 from buckthornstile.commands._exit import ExitCode, get_exit_code
 from buckthornstile.commands._keys import add_key, drain, restore, withdraw_key
@@ -58,6 +59,7 @@
     "settings document": document_settings,
     "entry": run_entry,
     "agent": run_agent,
+    "gateway": run_platform_gateway,
 }
 
 
--- a/buckthornstile/gateway/_daemon.py
+++ b/buckthornstile/gateway/_daemon.py
@@ -169,7 +169,7 @@
             self.store,
             self.view,
             clock=self.clock,
-            on_change=self.fleet.forget_gone,
+            on_change=self._note_topology,
             heartbeat=settings.heartbeat,
         )
         self.sender = CallSender(
@@ -185,6 +185,7 @@
             self.store,
             parts=settings.store_parts,
             max_record_bytes=settings.max_record_bytes,
+            max_append_bytes=settings.max_append_bytes,
             name=self.name,
             clock=self.clock,
             wall_clock=self.read_wall,
@@ -275,6 +276,14 @@
         text = self.metrics.render(self.counters, gauges)
         return Reply(200, text.encode(), (("Content-Type", "text/plain"),))
 
+    def _note_topology(self) -> None:
+        self.fleet.forget_gone()
+        configuration = self.view.configuration
+        if configuration is not None:
+            limits = configuration.limits
+            self.client_door.max_body_bytes = limits.max_body_bytes
+            self.client_door.max_header_bytes = limits.max_header_bytes
+
     def _note_job(self, job: Job) -> None:
         self.owner.note_change(job)
 
@@ -353,9 +362,12 @@
         await self.client_door.close()
 
 
-def run_gateway() -> None:
-    """Runs a gateway until it is told to stop."""
-    settings = read_node_settings()
+def run_gateway(settings: NodeSettings) -> None:
+    """Runs a gateway until it is told to stop.
+
+    Args:
+        settings: What the platform tells the process.
+    """
     handler = set_up_event_lines(settings.name)
     gateway = Gateway(settings)
     gateway.counters = handler.counters
--- a/buckthornstile/gateway/_job_runner.py
+++ b/buckthornstile/gateway/_job_runner.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable
+from collections.abc import Callable, Iterator, Sequence
 
 from buckthornstile.base import PlatformUnavailableError, UpstreamId
 from buckthornstile.gateway._fleet import Place
@@ -26,6 +26,7 @@
 WRITE_RETRY = 0.1
 END_POLL = 0.1
 MAX_APPEND_BYTES = 1 << 20
+"""Bytes of results or progress in one append; the store takes twice that."""
 MAX_URGENCY = 9
 SAVE_PERIOD = 0.6
 """Seconds between two looks for progress that should be stored."""
@@ -200,8 +201,8 @@
                     encode_progress(self.job.id, work.item.id, work.saved, new)
                 )
                 work.saved += len(new)
-        if records:
-            await self._append(records)
+        for batch in split_records(records, MAX_APPEND_BYTES):
+            await self._append(batch)
 
     async def _list(self, results: list[ItemResult]) -> None:
         records = [
@@ -240,3 +241,26 @@
                 await asyncio.sleep(WRITE_RETRY)
                 continue
             return
+
+
+def split_records(
+    records: Sequence[JobRecord], max_bytes: int
+) -> Iterator[list[JobRecord]]:
+    """Splits records into batches of bounded size; one record always fits.
+
+    Example:
+        >>> records = [JobRecord("a", b"12"), JobRecord("b", b"3"), JobRecord("c", b"")]
+        >>> [len(batch) for batch in split_records(records, 4)]
+        [1, 2]
+    """
+    batch: list[JobRecord] = []
+    size = 0
+    for record in records:
+        length = len(record.key) + len(record.value)
+        if batch and size + length > max_bytes:
+            yield batch
+            batch, size = [], 0
+        batch.append(record)
+        size += length
+    if batch:
+        yield batch
--- a/buckthornstile/gateway/_job_store.py
+++ b/buckthornstile/gateway/_job_store.py
@@ -43,6 +43,8 @@
 """Seconds for one append; ten times a slow store's usual answer."""
 ACCEPT_TIME = 2.5
 """Seconds in which an append is tried again before its client is answered."""
+APPEND_ROOM = 16 << 10
+"""Bytes of an append that lengths of records may take."""
 REFUSED_PAUSE = 0.06
 """Seconds before an append that the store refused is made again."""
 
@@ -54,6 +56,7 @@
         store: The store.
         parts: The partitions of a topic.
         max_record_bytes: The longest record.
+        max_append_bytes: The most that one append takes.
         name: This process's name.
         clock: The time in seconds; it must go on while suspended.
         wall_clock: Seconds since the epoch.
@@ -66,6 +69,7 @@
         *,
         parts: int,
         max_record_bytes: int,
+        max_append_bytes: int,
         name: ProcessName,
         clock: Callable[[], float],
         wall_clock: Callable[[], float],
@@ -73,6 +77,7 @@
     ) -> None:
         self.store = store
         self.max_record_bytes = max_record_bytes
+        self.max_append_bytes = max_append_bytes
         self.name = name
         self.clock = clock
         self.wall_clock = wall_clock
@@ -107,6 +112,12 @@
         claim = OwnerClaim(self.name, FIRST_EPOCH)
         records = encode_specification(specification, self.max_record_bytes)
         records.append(encode_claim(specification.id, claim))
+        size = sum(len(one.key) + len(one.value) for one in records)
+        if size > self.max_append_bytes - APPEND_ROOM:
+            raise BuckthornstileError(
+                ErrorCode.BODY_TOO_LARGE,
+                f"job {specification.id!r} takes {size} bytes in the store",
+            )
         producer = Producer(specification.id, FIRST_EPOCH, 0)
         try:
             await self._append(specification.id, records, producer, ACCEPT_TIME)
--- a/buckthornstile/gateway/tests/test_gateway.py
+++ b/buckthornstile/gateway/tests/test_gateway.py
@@ -3,6 +3,7 @@
 import asyncio
 import functools
 import json
+import os
 from collections.abc import Callable, Coroutine
 from typing import Any
 
@@ -730,3 +731,28 @@
     assert 'account_request_duration_seconds_count{account="mill"} 1' in text
     assert "buckthornstile_ready 1" in text
     assert "buckthornstile_configuration_version 3" in text
+
+
+@in_world
+async def test_too_large_requests_are_refused_by_the_configured_limits(
+    world: World,
+) -> None:
+    world.add_worker("w1", DESK)
+    await world.add_gateway("e1")
+    body = b"x" * ((1 << 20) + 1)
+    answer = await world.send("e1", "POST", "/orders/1", request_id="r1", body=body)
+    assert answer.status == 413
+    headers = (("X-Long", "y" * 20_000),)
+    assert (await world.call("e1", "r2", headers=headers)).status == 431
+    assert (await world.call("e1", "r3")).status == 200
+
+
+@in_world
+async def test_job_too_large_for_the_store_is_refused(world: World) -> None:
+    gateway = await world.add_gateway("e1")
+    gateway.jobs.max_append_bytes = 17 << 10
+    job = make_job(40)
+    for number, item in enumerate(job["items"]):
+        item["body"] = os.urandom(100).hex() + f"{number:04}"
+    assert await world.submit("e1", job, "j1") == 413
+    assert (await world.read_results("e1", "j1"))[0] == 404
--- a/buckthornstile/platform/__init__.py
+++ b/buckthornstile/platform/__init__.py
@@ -13,7 +13,11 @@
     UPSTREAM_TOPIC,
     VERSION_PREFIX,
 )
-from buckthornstile.platform._node_settings import NodeSettings, read_node_settings
+from buckthornstile.platform._node_settings import (
+    SETTINGS_VARIABLE,
+    NodeSettings,
+    read_node_settings,
+)
 from buckthornstile.platform._operator import (
     decode_configuration,
     decode_named_version,
@@ -49,6 +53,7 @@
     "CONFIGURATION_KEY",
     "EVACUATION_PREFIX",
     "OPERATOR_TOPIC",
+    "SETTINGS_VARIABLE",
     "UPSTREAM_TOPIC",
     "VERSION_PREFIX",
     "AppendRefusedError",
--- /dev/null
+++ b/buckthornstile/platform/tests/test_node_settings.py
@@ -0,0 +1,59 @@
+"""The platform's settings file: what is taken, and errors that name it."""
+
+import json
+
+import pytest
+
+from buckthornstile.base import BuckthornstileError
+from buckthornstile.commands import main
+from buckthornstile.platform import read_node_settings
+
+DATA = {
+    "node": "front-a-1",
+    "zone": "bench-a",
+    "ip": "127.0.0.1",
+    "listen": {"front": "127.0.0.1:1", "ready": "127.0.0.1:2"},
+    "internalPorts": [7780, 7795],
+    "heartbeatMs": 1200,
+    "bounds": {"revokeMs": 4000, "usageWindowS": 5},
+    "platform": {"address": "127.0.0.1:3", "parts": 12, "new field": {}},
+    "cloud": {"address": "127.0.0.1:4"},
+    "another new field": [1],
+}
+
+
+@pytest.fixture
+def path(tmp_path):
+    return tmp_path / "node.json"
+
+
+def test_fields_are_translated(path) -> None:
+    path.write_text(json.dumps(DATA))
+    settings = read_node_settings(str(path))
+    assert settings.name == "front-a-1"
+    assert settings.metrics_address == "127.0.0.1:7780"
+    assert settings.key_bound == 4.0
+    assert settings.heartbeat == 1.2
+    assert settings.store_parts == 12
+
+
+def test_role_that_serves_nobody_has_no_addresses(path) -> None:
+    path.write_text(json.dumps(DATA | {"listen": {}}))
+    assert read_node_settings(str(path)).client_address == ""
+
+
+@pytest.mark.parametrize("text", ["", "[]", "{}", "{", '{"node": "x", "zone": "z"}'])
+def test_unusable_file_is_named(path, text) -> None:
+    path.write_text(text)
+    with pytest.raises(BuckthornstileError, match="node.json"):
+        read_node_settings(str(path))
+
+
+def test_settings_check_shows_the_file(path, monkeypatch, capsys) -> None:
+    path.write_text(json.dumps(DATA))
+    monkeypatch.setenv("BUCKTHORNSTILE_CONFIG", str(path))
+    assert main(["settings", "check", "gateway"]) == 0
+    assert "heartbeat = 1.2" in capsys.readouterr().out
+    monkeypatch.setenv("BUCKTHORNSTILE_CONFIG", "/no/such/file")
+    assert main(["settings", "check", "gateway"]) != 0
+    assert "/no/such/file" in capsys.readouterr().err
