--- a/buckthornstile/exchanges/__init__.py
+++ b/buckthornstile/exchanges/__init__.py
@@ -4,6 +4,7 @@
     Answer,
     ConnectionPool,
     OutgoingRequest,
+    is_silent,
 )
 
-__all__ = ["Answer", "ConnectionPool", "OutgoingRequest"]
+__all__ = ["Answer", "ConnectionPool", "OutgoingRequest", "is_silent"]
--- a/buckthornstile/exchanges/_exchange.py
+++ b/buckthornstile/exchanges/_exchange.py
@@ -203,7 +203,7 @@
         now = asyncio.get_running_loop().time()
         while idle:
             stream, until = idle.pop()
-            if now < until and _is_silent(stream):
+            if now < until and is_silent(stream):
                 return stream
             stream.close()
         return None
@@ -300,8 +300,11 @@
     raise BuckthornstileError(code, message, verdict=Verdict.MAY_HAVE_RUN)
 
 
-def _is_silent(stream: IOStream) -> bool:
-    """Whether an idle connection is open and holds nothing unread."""
+def is_silent(stream: IOStream) -> bool:
+    """Whether an idle connection is open and holds nothing unread.
+
+    Bytes that nobody asked for are a late or doubled answer.
+    """
     if stream.closed() or stream._read_buffer_size:
         return False
     try:
--- a/buckthornstile/gateway/_daemon.py
+++ b/buckthornstile/gateway/_daemon.py
@@ -242,6 +242,7 @@
                 clock=self.clock,
                 wall_clock=self.read_wall,
                 metrics=self.metrics,
+                choose_first_owner=self.owner.choose_first_owner,
                 key_bound=settings.key_bound,
                 fails_closed=settings.fails_closed,
             )
--- a/buckthornstile/gateway/_handlers.py
+++ b/buckthornstile/gateway/_handlers.py
@@ -10,6 +10,7 @@
     AccountId,
     BuckthornstileError,
     ErrorCode,
+    ProcessName,
     Verdict,
     get_http_status,
 )
@@ -49,6 +50,7 @@
     clock: Callable[[], float]
     wall_clock: Callable[[], float]
     metrics: GatewayMetrics
+    choose_first_owner: Callable[[JobId], ProcessName]
     key_bound: float
     fails_closed: bool
 
@@ -182,11 +184,13 @@
             route=route,
             submitted_at=self.tools.wall_clock(),
         )
-        await self.tools.jobs.accept(specification)
+        first_owner = self.tools.choose_first_owner(specification.id)
+        await self.tools.jobs.accept(specification, first_owner)
         log_event(
             "job.accepted",
             job=specification.id,
             account=owner,
+            owner=first_owner,
             items=len(specification.items),
             step=specification.step,
             minimum_version=specification.minimum_version,
--- a/buckthornstile/gateway/_job_owner.py
+++ b/buckthornstile/gateway/_job_owner.py
@@ -13,6 +13,8 @@
 
 CHECK_PERIOD = 0.15
 """Seconds between two looks for jobs without a living owner."""
+NEW_OWNER_GRACE = 0.7
+"""Seconds for the presence record of an owner that is not known yet to be read."""
 CLAIM_PERIOD = 1.0
 """Seconds before a claim whose outcome is not known is made again."""
 DROP_PERIOD = 5.0
@@ -60,6 +62,13 @@
             log_event("job.stop", job=job.id, ended=job.ended, owned=is_mine)
             self._runners.pop(job.id).stop()
 
+    def choose_first_owner(self, job: JobId) -> ProcessName:
+        """Chooses who runs a job that this process accepts."""
+        if not self.is_leaving:
+            return self.name
+        others = [name for name in self.presence.list_live() if name != self.name]
+        return choose_owner(job, others) or self.name
+
     def count_running(self) -> int:
         """Counts the jobs that this process runs."""
         return len(self._runners)
@@ -126,7 +135,10 @@
             return True
         if job.claim.owner == self.name:
             return job.id not in self._runners
-        return job.claim.owner not in live
+        if job.claim.owner in live:
+            return False
+        age = self.clock() - job.claimed_at
+        return self.presence.is_known(job.claim.owner) or age > NEW_OWNER_GRACE
 
     async def _drop_expired(self) -> None:
         now = self.clock()
--- a/buckthornstile/gateway/_job_store.py
+++ b/buckthornstile/gateway/_job_store.py
@@ -100,8 +100,8 @@
             for tail in self.tails:
                 group.create_task(tail.run())
 
-    async def accept(self, specification: JobSpecification) -> None:
-        """Stores a job, with this process as its owner.
+    async def accept(self, specification: JobSpecification, owner: ProcessName) -> None:
+        """Stores a job with its first owner.
 
         Repeats, here and at other processes, store nothing more.
 
@@ -109,7 +109,7 @@
             BuckthornstileError: It is not known to be stored; the verdict is
                 NOT_RUN only if it will never be.
         """
-        claim = OwnerClaim(self.name, FIRST_EPOCH)
+        claim = OwnerClaim(owner, FIRST_EPOCH)
         records = encode_specification(specification, self.max_record_bytes)
         records.append(encode_claim(specification.id, claim))
         size = sum(len(one.key) + len(one.value) for one in records)
--- a/buckthornstile/gateway/_presence.py
+++ b/buckthornstile/gateway/_presence.py
@@ -112,6 +112,10 @@
             if peer.seen_at >= oldest and not peer.record.is_leaving
         ]
 
+    def is_known(self, name: ProcessName) -> bool:
+        """Whether a record of a process was read, however old it is now."""
+        return name in self._peers
+
     def list_possible(self) -> list[ProcessName]:
         """Lists the processes that may still be sending."""
         oldest = self.clock() - COUNT_LIFETIME
--- a/buckthornstile/gateway/tests/test_gateway.py
+++ b/buckthornstile/gateway/tests/test_gateway.py
@@ -21,6 +21,7 @@
     make_job,
     make_text,
 )
+from buckthornstile.platform import decode_job
 
 TEST_TIME = 40.0  # seconds
 
@@ -477,6 +478,41 @@
     await stopping
 
 
+@in_world
+async def test_process_that_leaves_gives_new_jobs_to_others(world: World) -> None:
+    world.add_worker("w1", DESK)
+    world.add_worker("m1", MODELS, event_seconds=0.1)
+    first = await world.add_gateway("e1")
+    second = await world.add_gateway("e2")
+    await world.wait_for(lambda: len(first.presence.list_live()) == 2)
+    stopping = asyncio.create_task(first._drain())
+    await world.wait_for(lambda: first.owner.is_leaving)
+    assert await world.submit("e1", make_job(2), "j1") == 202
+    await world.wait_for(lambda: second.jobs.table.find("j1"))
+    job = second.jobs.table.find("j1")
+    assert (job.claim.owner, job.claim.epoch) == (second.name, 1)
+    await world.read_all("e2", "j1", 2)
+    await stopping
+
+
+@in_world
+async def test_owner_that_is_not_known_yet_is_given_time(world: World) -> None:
+    world.add_worker("w1", DESK)
+    world.add_worker("m1", MODELS)
+    gateway = await world.add_gateway("e1")
+    specification = decode_job(
+        "j1",
+        json.dumps(make_job(2)).encode(),
+        account="mill",
+        route=gateway.view.find_route(HOST, "/steps/x"),
+        submitted_at=gateway.read_wall(),
+    )
+    await gateway.jobs.accept(specification, "e9#1")
+    await asyncio.sleep(0.4)
+    assert gateway.jobs.table.find("j1").claim.owner == "e9#1"
+    await world.read_all("e1", "j1", 2)
+
+
 @in_world
 async def test_groups_that_come_again_use_what_was_made(world: World) -> None:
     world.add_worker("w1", DESK)
--- a/buckthornstile/jobs/_table.py
+++ b/buckthornstile/jobs/_table.py
@@ -35,7 +35,8 @@
 class Job:
     """A batch job as folded; ``results`` are in the order of the log.
 
-    ``started_at`` is this process's steady clock at the submission.
+    ``started_at`` is this process's steady clock at the submission, ``claimed_at``
+    when the newest claim was read.
     """
 
     specification: JobSpecification
@@ -44,6 +45,7 @@
     progress: dict[ItemId, dict[int, list[StreamEvent]]] = field(default_factory=dict)
     claim: OwnerClaim | None = None
     claim_offset: int = -1
+    claimed_at: float = -1e9
     ended: bool = False
     results: list[ItemResult] = field(default_factory=list)
     positions: dict[ItemId, int] = field(default_factory=dict)
@@ -156,7 +158,7 @@
                 (parsed, part, offset, key, whole)
             )
             return
-        self._apply_to_job(job, parsed, offset, key, whole)
+        self._apply_to_job(job, parsed, offset, key, whole, now)
 
     def find_progress(self, item: JobItem) -> list[StreamEvent]:
         """Finds the most that any job has stored of an item's text."""
@@ -202,17 +204,24 @@
         self.jobs[parsed.job] = job
         early = self._early.pop(parsed.job, [])
         for one, _, offset, early_key, whole in sorted(early, key=lambda one: one[2]):
-            self._apply_to_job(job, one, offset, early_key, whole)
+            self._apply_to_job(job, one, offset, early_key, whole, now)
         self._notify(job)
 
     def _apply_to_job(
-        self, job: Job, parsed: RecordKey, offset: int, key: str, value: bytes
+        self,
+        job: Job,
+        parsed: RecordKey,
+        offset: int,
+        key: str,
+        value: bytes,
+        now: float,
     ) -> None:
         job.keys.add(key)
         if parsed.kind == OWNER:
             claim = decode_claim(value)
             if offset > job.claim_offset:
                 job.claim, job.claim_offset = claim, offset
+                job.claimed_at = now
         elif parsed.kind == END:
             job.ended = True
         elif parsed.kind == PROGRESS and parsed.item in job.items:
--- a/buckthornstile/platform/_names.py
+++ b/buckthornstile/platform/_names.py
@@ -9,7 +9,6 @@
 EXPECTED_VERSION = "Expect-Version"
 URGENCY = "Request-Urgency"
 RESUME_AFTER = "Last-Event-Id"
-MODEL = "Model"
 WAIT = "Wait-Ms"
 EXPECTED_TOKENS = "Length-Hint"
 
--- a/buckthornstile/topology/_view.py
+++ b/buckthornstile/topology/_view.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from buckthornstile.base import AccountId, FailureDomain, ServiceName, UpstreamId
+from buckthornstile.base import FailureDomain, ServiceName, UpstreamId
 from buckthornstile.topology._types import (
     Account,
     Configuration,
@@ -196,14 +196,6 @@
         """Finds the account that holds a key now."""
         return self._accounts.get(key)
 
-    def find_account_by_name(self, name: AccountId) -> Account | None:
-        """Finds an account by its name."""
-        configuration = self.configuration
-        if configuration is None:
-            return None
-        matches = (one for one in configuration.accounts if one.name == name)
-        return next(matches, None)
-
     def list_usable(self, service: ServiceName) -> list[Upstream]:
         """Lists the upstreams of a service that may get new work."""
         return [
--- a/buckthornstile/upstreams/_http.py
+++ b/buckthornstile/upstreams/_http.py
@@ -16,6 +16,7 @@
     RequestId,
     Verdict,
 )
+from buckthornstile.exchanges import is_silent
 from buckthornstile.ports import AnswerEnd, AnswerHead, AnswerPart, UpstreamCall
 from buckthornstile.upstreams._exchange import (
     REQUEST_ID_HEADER,
@@ -125,7 +126,7 @@
     def _take_idle(self) -> IOStream | None:
         while self._idle:
             stream = self._idle.pop()
-            if _is_silent(stream):
+            if is_silent(stream):
                 stream.set_close_callback(None)
                 return stream
             stream.close()
@@ -196,22 +197,6 @@
     return stream
 
 
-def _is_silent(stream: IOStream) -> bool:
-    """Whether an idle connection is open and holds nothing unread.
-
-    Bytes that nobody asked for are a late or doubled answer.
-    """
-    if stream.closed() or stream._read_buffer_size:
-        return False
-    try:
-        stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-    except BlockingIOError:
-        return True
-    except OSError:
-        return False
-    return False
-
-
 def _check_echo(call: UpstreamCall, head: AnswerHead) -> None:
     if head.request_id != call.request_id:
         raise BuckthornstileError(
