--- a/buckthornstile/gateway/_job_store.py
+++ b/buckthornstile/gateway/_job_store.py
@@ -24,6 +24,7 @@
 )
 from buckthornstile.logs import log_event
 from buckthornstile.platform import (
+    JOB_TOPIC,
     AppendRefusedError,
     Producer,
     StoreClient,
@@ -32,7 +33,6 @@
 )
 from buckthornstile.routing import compute_score
 
-JOB_TOPIC = "keyed.jobs"
 MAX_JOB_PARTS = 4
 """Partitions in use: each entry holds one read open for each."""
 JOB_WAIT = 0.4
--- a/buckthornstile/platform/__init__.py
+++ b/buckthornstile/platform/__init__.py
@@ -9,6 +9,7 @@
 from buckthornstile.platform._names import (
     CONFIGURATION_KEY,
     EVACUATION_PREFIX,
+    JOB_TOPIC,
     OPERATOR_TOPIC,
     UPSTREAM_TOPIC,
     VERSION_PREFIX,
@@ -52,6 +53,7 @@
 __all__ = [
     "CONFIGURATION_KEY",
     "EVACUATION_PREFIX",
+    "JOB_TOPIC",
     "OPERATOR_TOPIC",
     "SETTINGS_VARIABLE",
     "UPSTREAM_TOPIC",
--- a/buckthornstile/platform/_names.py
+++ b/buckthornstile/platform/_names.py
@@ -51,6 +51,8 @@
 
 OPERATOR_TOPIC = "keyed.op"
 UPSTREAM_TOPIC = "keyed.servers"
+JOB_TOPIC = "keyed.jobs"
+"""Ours; the prefix makes the store keep the newest record of each key."""
 CONFIGURATION_KEY = "config"
 EVACUATION_PREFIX = "evacuate/"
 VERSION_PREFIX = "version/"
