--- /dev/null
+++ b/buckthornstile/gateway/tests/test_calls.py
@@ -0,0 +1,186 @@
+"""Calls through a whole gateway: forwarding, refusals, bad workers, limits."""
+
+import asyncio
+import json
+
+import pytest
+
+from buckthornstile.exchanges import OutgoingRequest
+from buckthornstile.gateway.tests.world import (
+    DESK,
+    HOST,
+    KEY,
+    World,
+    in_world,
+)
+
+
+@in_world
+async def test_call_is_forwarded_whole(world: World) -> None:
+    worker = world.add_worker("w1", DESK)
+    await world.add_gateway("e1")
+    answer = await world.call("e1", "r1", target="/orders/7?x=1")
+    assert answer.status == 200
+    assert bytes(answer.body) == b"answer to hello"
+    assert answer.headers["Server-Stamp"].startswith("w1.")
+    (run,) = worker.list_runs()
+    headers = run["headers"]
+    assert headers["Request-Id"] == "r1"
+    assert headers["Tenant"] == "mill"
+    assert headers["Expect-Instance"] == "w1"
+    assert headers["Host"] == HOST
+    assert 0 < int(headers["Deadline-Ms"]) <= 2000
+    assert KEY not in json.dumps(run)
+
+
+@in_world
+async def test_client_cannot_name_its_own_account(world: World) -> None:
+    worker = world.add_worker("w1", DESK)
+    await world.add_gateway("e1")
+    headers = (("Tenant", "quay"), ("Deadline-Ms", "1000"))
+    assert (await world.call("e1", "r1", headers=headers)).status == 200
+    assert worker.list_runs()[0]["headers"]["Tenant"] == "mill"
+
+
+@in_world
+async def test_refusals_say_why(world: World) -> None:
+    world.add_worker("w1", DESK)
+    await world.add_gateway("e1")
+    assert (await world.call("e1", "r1", key="wrong")).status == 401
+    assert (await world.call("e1", "r2", key=None)).status == 401
+    assert (await world.call("e1", "r3", target="/nowhere/")).status == 404
+    answer = await world.send("e1", "GET", "/-/lots/unknown")
+    assert answer.status == 404
+    assert world.workers["w1"].list_runs() == []
+
+
+@in_world
+async def test_not_ready_and_never_404_before_a_configuration(world: World) -> None:
+    world.log.partitions.clear()
+    gateway = await world.add_gateway("e1", ready=False)
+    await world.wait_for(lambda: gateway.jobs.is_loaded())
+    assert not gateway.is_ready()
+    answer = await world.call("e1", "r1")
+    assert answer.status == 503
+    assert "Retry-After" in answer.headers
+    world.put_configuration()
+    world.add_worker("w1", DESK)
+    await world.wait_for(gateway.is_ready)
+
+
+@pytest.mark.parametrize(
+    "kind", ["full", "error", "reset", "truncate", "crossed", "unsigned"]
+)
+def test_repeatable_call_survives_a_bad_worker(kind: str) -> None:
+    @in_world
+    async def test(world: World) -> None:
+        for name in ("w1", "w2"):
+            worker = world.add_worker(name, DESK)
+            worker.faults.add({"kind": kind, "count": 1})
+        world.add_worker("w3", DESK)
+        await world.add_gateway("e1")
+        for number in range(4):
+            answer = await world.call("e1", f"r{number}")
+            assert answer.status == 200
+            assert bytes(answer.body) == b"answer to hello"
+
+    test()
+
+
+@in_world
+async def test_silent_worker_is_hedged(world: World) -> None:
+    for name in ("w1", "w2"):
+        worker = world.add_worker(name, DESK)
+        worker.faults.add({"kind": "silent", "seconds": 1.5, "count": 1})
+    world.add_worker("w3", DESK)
+    await world.add_gateway("e1")
+    started = asyncio.get_running_loop().time()
+    for number in range(3):
+        assert (await world.call("e1", f"r{number}")).status == 200
+    assert asyncio.get_running_loop().time() - started < 1.4
+
+
+@pytest.mark.parametrize("kind", ["reset", "truncate"])
+def test_call_at_most_once_is_not_repeated(kind: str) -> None:
+    @in_world
+    async def test(world: World) -> None:
+        for name in ("w1", "w2"):
+            worker = world.add_worker(name, DESK)
+            worker.faults.add({"kind": kind})
+        await world.add_gateway("e1")
+        answer = await world.call("e1", "r1", target="/once/1")
+        assert answer.status == 502
+        runs = [run for one in world.workers.values() for run in one.list_runs()]
+        assert len(runs) == 1
+
+    test()
+
+
+@in_world
+async def test_call_at_most_once_moves_on_from_a_refusal(world: World) -> None:
+    for name in ("w1", "w2"):
+        world.add_worker(name, DESK).faults.add({"kind": "full", "count": 1})
+    world.add_worker("w3", DESK)
+    await world.add_gateway("e1")
+    assert (await world.call("e1", "r1", target="/once/1")).status == 200
+
+
+@in_world
+async def test_no_worker_is_a_refusal_with_a_time_to_come_back(world: World) -> None:
+    worker = world.add_worker("w1", DESK)
+    worker.faults.add({"kind": "full"})
+    await world.add_gateway("e1")
+    answer = await world.call("e1", "r1")
+    assert answer.status == 503
+    assert float(answer.headers["Retry-After"]) > 0
+    assert worker.list_runs() == []
+
+
+@in_world
+async def test_client_that_leaves_ends_the_run(world: World) -> None:
+    worker = world.add_worker("w1", DESK, work_seconds=5.0)
+    await world.add_gateway("e1")
+    task = asyncio.create_task(world.call("e1", "r1", target="/once/1"))
+    await world.wait_for(lambda: worker.state.running)
+    task.cancel()
+    closed = world.gateways["e1"]
+    await world.wait_for(lambda: not closed.client_door.open, timeout=0.4)
+
+
+@in_world
+async def test_reused_address_runs_nothing(world: World) -> None:
+    worker = world.add_worker("w1", DESK)
+    await world.add_gateway("e1")
+    assert (await world.call("e1", "r1")).status == 200
+    worker.state.id = "another"
+    answer = await world.call("e1", "r2")
+    assert answer.status == 503
+    assert len(worker.list_runs()) == 1
+
+
+@in_world
+async def test_metrics_tell_latencies_and_ages(world: World) -> None:
+    world.add_worker("w1", DESK)
+    gateway = await world.add_gateway("e1")
+    assert (await world.call("e1", "r1")).status == 200
+    address = gateway.settings.metrics_address
+    request = OutgoingRequest("GET", "/metrics", [("Host", address)])
+    answer = await world.pool.exchange(address, request)
+    text = bytes(answer.body).decode()
+    assert 'account_request_duration_seconds_count{account="mill"} 1' in text
+    assert "buckthornstile_ready 1" in text
+    assert "buckthornstile_configuration_version 3" in text
+
+
+@in_world
+async def test_too_large_requests_are_refused_by_the_configured_limits(
+    world: World,
+) -> None:
+    world.add_worker("w1", DESK)
+    await world.add_gateway("e1")
+    body = b"x" * ((1 << 20) + 1)
+    answer = await world.send("e1", "POST", "/orders/1", request_id="r1", body=body)
+    assert answer.status == 413
+    headers = (("X-Long", "y" * 20_000),)
+    assert (await world.call("e1", "r2", headers=headers)).status == 431
+    assert (await world.call("e1", "r3")).status == 200
--- a/buckthornstile/gateway/tests/world.py
+++ b/buckthornstile/gateway/tests/world.py
@@ -1,10 +1,11 @@
 """A small deployment in one event loop: store, workers, gateways, clients."""
 
 import asyncio
+import functools
 import json
 import socket
 import struct
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
 from tornado.httpserver import HTTPServer
@@ -23,6 +24,7 @@
 DESK, MODELS = "desk", "models"
 MODEL = "llm"
 SETTLE = 8.0  # seconds for anything to settle on a busy machine
+TEST_TIME = 40.0  # seconds for one test
 
 
 def find_port() -> int:
@@ -385,3 +387,20 @@
 def pack_record(data: bytes) -> bytes:
     """Encodes a record as it goes over the wire."""
     return struct.pack(">I", len(data)) + data
+
+
+def in_world(
+    test: Callable[[World], Coroutine[Any, Any, None]],
+) -> Callable[[], None]:
+    """Runs a test in a world of its own."""
+
+    @functools.wraps(test)
+    def run() -> None:
+        async def play() -> None:
+            async with World() as world, asyncio.timeout(TEST_TIME):
+                await test(world)
+
+        asyncio.run(play())
+
+    del run.__wrapped__  # type: ignore[attr-defined]
+    return run
