Log a presence record that the store did not take; find a group's place once

From reading the whole change: three suppressed errors around one call had no log line, and each item of a job listed all groups of the job anew.

Change: the call itself logs the failure, with its reason; the places of groups are worked out once a job. What is done stays the same.

--- a/buckthornstile/gateway/_daemon.py
+++ b/buckthornstile/gateway/_daemon.py
@@ -325,8 +325,7 @@
 
     async def _announce(self) -> None:
         while True:
-            with contextlib.suppress(BuckthornstileError):
-                await self._announce_once()
+            await self._announce_once()
             self._news.clear()
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(PRESENCE_PERIOD):
@@ -340,7 +339,10 @@
             counts=self.counter.get_counts(self.read_wall()),
             versions=self.control.list_fresh_versions(),
         )
-        await self.store.append(PRESENCE_TOPIC, 0, [record.encode()])
+        try:
+            await self.store.append(PRESENCE_TOPIC, 0, [record.encode()])
+        except BuckthornstileError as error:
+            log_event("presence.append_failed", reason=error.message)
 
     async def _drain(self) -> None:
         log_event("process.drain", open=self.client_door.open)
@@ -349,8 +351,7 @@
         self.control.is_leaving = True
         self.client_door.start_closing()
         await self.owner.save_all()
-        with contextlib.suppress(BuckthornstileError):
-            await self._announce_once()
+        await self._announce_once()
         began = self.clock()
         end = began + self.settings.stop_grace - STOP_MARGIN
         while self.clock() < end:
@@ -358,8 +359,7 @@
             if idle and self.clock() > began + DRAIN_TIME:
                 break
             await asyncio.sleep(STOP_POLL)
-        with contextlib.suppress(BuckthornstileError):
-            await self._announce_once()
+        await self._announce_once()
         await self.client_door.close()
 
 
--- a/buckthornstile/gateway/_job_runner.py
+++ b/buckthornstile/gateway/_job_runner.py
@@ -57,6 +57,8 @@
         self.context = JobContext(job, tools)
         self.on_end = on_end
         self._sequence = 0
+        groups = dict.fromkeys(item.group for item in job.items.values())
+        self._places = {group: place for place, group in enumerate(groups)}
         self._homes: dict[str, UpstreamId] = {}
         self._works: list[ItemWork] = []
         self._waiting: list[ItemWork] = []
@@ -143,13 +145,13 @@
 
     def _make_work(self, item: JobItem) -> ItemWork:
         """Ranks an item: what is waited for first, then what takes longest."""
-        groups = list(dict.fromkeys(one.group for one in self.job.items.values()))
-        wanted = self.job.specification.wanted_groups or len(groups)
-        is_spare = groups.index(item.group) >= wanted
+        place = self._places[item.group]
+        wanted = self.job.specification.wanted_groups or len(self._places)
+        is_spare = place >= wanted
         route = self.context.find_route()
         priority = route.priority if route else 0
         urgency = min(MAX_URGENCY, priority + 1 + SPARE_URGENCY * is_spare)
-        rank = (int(is_spare), -item.expected_tokens, groups.index(item.group))
+        rank = (int(is_spare), -item.expected_tokens, place)
         work = ItemWork(item, self.context, rank, urgency)
         work.load_progress(route)
         return work
