--- a/buckthornstile/samples/_received.py
+++ b/buckthornstile/samples/_received.py
@@ -7,7 +7,7 @@
 from buckthornstile.base import BuckthornstileError, ErrorCode, Verdict, WeightVersion
 from buckthornstile.samples._lines import SampleLine, digest_body
 from buckthornstile.samples._specification import LotSpecification
-from buckthornstile.wire import Slot
+from buckthornstile.samples._values import Slot
 
 
 class Receipt(Enum):
--- a/buckthornstile/samples/tests/test_lines.py
+++ b/buckthornstile/samples/tests/test_lines.py
@@ -12,10 +12,11 @@
     LotSpecification,
     ReceivedSet,
     Sample,
+    Slot,
+    TokenRange,
     decode_line,
     encode_sample,
 )
-from buckthornstile.wire import Slot, TokenRange
 
 TEXTS = st.text(st.characters(), max_size=8)
 VALUES = st.recursive(
--- a/buckthornstile/settings/__init__.py
+++ b/buckthornstile/settings/__init__.py
@@ -1,7 +1,6 @@
-"""Settings of the daemons and the operators' commands."""
+"""Settings of entries and of the operators' commands."""
 
-from buckthornstile.settings._agent import AgentSettings, UpstreamKind
-from buckthornstile.settings._common import CommonSettings, DaemonSettings, LogFormat
+from buckthornstile.settings._common import CommonSettings
 from buckthornstile.settings._document import render_settings_page
 from buckthornstile.settings._entry import EntrySettings
 from buckthornstile.settings._load import (
@@ -12,13 +11,9 @@
 from buckthornstile.settings._operator import OperatorSettings
 
 __all__ = [
-    "AgentSettings",
     "CommonSettings",
-    "DaemonSettings",
     "EntrySettings",
-    "LogFormat",
     "OperatorSettings",
-    "UpstreamKind",
     "describe_settings",
     "list_unknown_variables",
     "load_settings",
--- a/buckthornstile/settings/_document.py
+++ b/buckthornstile/settings/_document.py
@@ -4,8 +4,7 @@
 
 from pydantic.fields import FieldInfo
 
-from buckthornstile.settings._agent import AgentSettings
-from buckthornstile.settings._common import CommonSettings, DaemonSettings, find_unit
+from buckthornstile.settings._common import CommonSettings, find_unit
 from buckthornstile.settings._entry import EntrySettings
 from buckthornstile.settings._load import describe_range
 from buckthornstile.settings._operator import OperatorSettings
@@ -15,19 +14,17 @@
 This page is made from the models by `python -m buckthornstile settings document`.
 
 A flag goes over an environment variable, and that over the default. The setting
-`peer_port` is the flag `--peer_port` and the variable `BUCKTHORNSTILE_PEER_PORT`.
-`python -m buckthornstile settings check entry` (or `agent`, `operator`) names
-everything that is wrong at once.
+`stop_grace` is the flag `--stop_grace` and the variable `BUCKTHORNSTILE_STOP_GRACE`.
+`python -m buckthornstile settings check entry` (or `operator`) names everything that
+is wrong at once. On the users' platform an entry takes its settings from the file that
+`BUCKTHORNSTILE_CONFIG` names; `settings check platform` reads and checks it.
 """
 HEAD = (
     "| setting | default | allowed | unit | meaning |\n| --- | --- | --- | --- | --- |"
 )
-SECTIONS: tuple[tuple[str, type[CommonSettings], type[CommonSettings] | None], ...] = (
-    ("All commands", CommonSettings, None),
-    ("Entries and agents", DaemonSettings, CommonSettings),
-    ("Entries", EntrySettings, DaemonSettings),
-    ("Agents", AgentSettings, DaemonSettings),
-    ("Operators' commands", OperatorSettings, CommonSettings),
+SECTIONS: tuple[tuple[str, type[CommonSettings]], ...] = (
+    ("Entries", EntrySettings),
+    ("Operators' commands", OperatorSettings),
 )
 
 
@@ -42,10 +39,9 @@
         '# Settings'
     """
     parts = [INTRODUCTION]
-    for title, kind, base in SECTIONS:
-        inherited = base.model_fields if base is not None else {}
-        names = [name for name in kind.model_fields if name not in inherited]
-        rows = "\n".join(_render_row(name, kind.model_fields[name]) for name in names)
+    for title, kind in SECTIONS:
+        fields = kind.model_fields
+        rows = "\n".join(_render_row(name, fields[name]) for name in fields)
         parts.append(f"## {title}\n\n{HEAD}\n{rows}\n")
     return "\n".join(parts)
 
--- a/buckthornstile/settings/_entry.py
+++ b/buckthornstile/settings/_entry.py
@@ -1,88 +1,138 @@
-"""The settings of an entry."""
+"""The settings of an entry.
 
-from pydantic import ValidationInfo, field_validator
+On the users' platform they come from the file that the platform writes
+(``buckthornstile.platform.read_node_settings``), else from flags and variables.
+"""
 
-from buckthornstile.settings._common import DaemonSettings, make_number
+from pydantic import Field, ValidationInfo, field_validator
 
+from buckthornstile.base import FailureDomain, ProcessName, check_name
+from buckthornstile.settings._common import (
+    CommonSettings,
+    check_address,
+    make_number,
+)
 
-class EntrySettings(DaemonSettings):
+NO_PORT = "An empty one serves none."
+
+
+class EntrySettings(CommonSettings):
     """Settings of an entry."""
 
-    http_port: int = make_number(
-        7400, 0, 65535, "port", "TCP port for callers and trainers; 0 takes a free one."
+    process: ProcessName = Field(
+        description="The process's name, unique in the deployment."
     )
-    default_timeout: float = make_number(
-        60.0, 0.1, 3600, "s", "Deadline of a request that names none."
+    failure_domain: FailureDomain = Field(
+        description="The failure domain that its VM is in."
     )
-    max_timeout: float = make_number(
-        600.0, 0.1, 86_400, "s", "Longest deadline that a caller may name."
+    store_address: str = Field(description="The platform's store, as NUMBER:PORT.")
+    client_address: str = Field(
+        default="",
+        description=f"Where clients of the platform's protocol connect. {NO_PORT}",
     )
-    lease_duration: float = make_number(
-        6.0, 1, 300, "s", "Time that the control lease lasts without renewal."
+    ready_address: str = Field(
+        default="", description=f"Where the balancer asks for readiness. {NO_PORT}"
     )
-    lease_renewal_interval: float = make_number(
-        1.5, 0.1, 100, "s", "Time between two renewals by the holder."
+    metrics_address: str = Field(
+        default="", description=f"Where metrics are served. {NO_PORT}"
     )
-    lease_margin: float = make_number(
-        1.0,
-        0.05,
-        60,
-        "s",
-        "Time by which the holder stops early and followers wait longer.",
+    api_address: str = Field(
+        default="",
+        description=(
+            f"Where callers, trainers and operators connect; port 0 takes a free "
+            f"one. {NO_PORT}"
+        ),
     )
-    order_timeout: float = make_number(
-        1.0, 0.05, 60, "s", "Time within which an order must have been carried out."
+    duty_address: str = Field(
+        default="",
+        description="Where the platform takes usage reports; an empty one gets none.",
     )
-    control_candidates: int = make_number(
-        3, 1, 100, "entries", "Entries that try for the lease."
+    store_parts: int = make_number(
+        1, 1, 1024, "partitions", "Partitions that a topic of the store may have."
     )
-    snapshot_interval: float = make_number(
-        60.0, 0.1, 86_400, "s", "Time between two snapshots that the holder appends."
+    max_record_bytes: int = make_number(
+        256 << 10, 1024, 64 << 20, "bytes", "Longest record that the store takes."
     )
-    log_retention: float = make_number(
-        3600.0, 1, 31_536_000, "s", "Time for which the platform's log keeps a record."
+    max_append_bytes: int = make_number(
+        2 << 20, 4096, 256 << 20, "bytes", "Most that one append to the store takes."
     )
-    usage_batch_interval: float = make_number(
-        1.0, 0.05, 60, "s", "Time between two usage batches of an entry."
+    heartbeat: float = make_number(
+        1.0, 0.05, 60, "s", "Time between two writes of an upstream to the store."
     )
-    usage_window: int = make_number(60, 1, 86_400, "s", "Length of a usage window.")
-    usage_seal_delay: float = make_number(
-        5.0, 0, 3600, "s", "Time after a window's end until it is sealed."
+    stop_grace: float = make_number(
+        8.0, 0, 3600, "s", "Time between SIGTERM and the platform's SIGKILL."
     )
-    vm_list_interval: float = make_number(
-        1.0, 0.05, 60, "s", "Time between two reads of the VM list."
+    key_bound: float = make_number(
+        5.0, 0.5, 3600, "s", "Time within which a withdrawn key must stop working."
     )
-    upstream_subset: int = make_number(
-        0, 0, 100_000, "upstreams", "Upstreams that an entry connects to; 0 for all."
+    fails_closed: bool = Field(
+        default=True,
+        description="Whether keys are refused that have not been checked in time.",
     )
-    retry_budget: float = make_number(
-        0.1, 0, 1, "retries per success", "Retries that each success earns."
+    turn_bound: float = make_number(
+        3.0, 0.3, 300, "s", "Time in which the lease may not change there and back."
     )
-    max_lots: int = make_number(
-        256, 1, 100_000, "lots", "Lots that may be open at once."
+    usage_window: float = make_number(
+        5.0, 0.1, 86_400, "s", "Length of a usage window."
     )
-    max_lot_samples: int = make_number(
-        4096, 1, 1_000_000, "samples", "Samples that one lot may ask for."
+    usage_due: float = make_number(
+        10.0, 0.1, 86_400, "s", "Time after a window's end until its report is due."
     )
-    weight_poll_interval: float = make_number(
-        1.0, 0.05, 3600, "s", "Time between two looks at the weight store's manifest."
+    result_lifetime: float = make_number(
+        120.0, 1, 86_400, "s", "Time for which a job's results stay readable."
     )
-    scale_maximum: int = make_number(
-        0,
+    cold_overage: float = make_number(
+        1.0, 0.01, 100, "times", "Part of a cold upstream's rate that is used."
+    )
+    cold_slack: float = make_number(
+        0.0, 0, 10_000, "requests/s", "Requests beyond a cold upstream's rate."
+    )
+    cold_rate: float = make_number(
+        0.0,
         0,
         100_000,
-        "upstreams",
-        "Upstreams of one service that may be ordered; 0 orders and stops none.",
+        "requests/s",
+        "What a cold upstream bears whose service names no rate; 0 for any number.",
+    )
+    default_timeout: float = make_number(
+        60.0, 0.1, 3600, "s", "Deadline of a call that names none."
     )
-    scale_interval: float = make_number(
-        5.0, 0.1, 3600, "s", "Time between two plans of starts and stops."
+    max_timeout: float = make_number(
+        600.0, 0.1, 86_400, "s", "Longest deadline that a caller may name."
     )
-    scale_start_seconds: float = make_number(
-        60.0, 0, 86_400, "s", "Time from an order to the upstream's first request."
+    max_body_bytes: int = make_number(
+        4 << 20, 1024, 256 << 20, "bytes", "Largest body of a call or lot."
     )
-    swap_share: float = make_number(
-        0.25, 0.001, 1, "share", "Share of a service's engines that swap at once."
+    max_open_calls: int = make_number(
+        2048, 1, 1_000_000, "calls", "Calls that may be open or queued at once."
     )
+    max_lots: int = make_number(
+        256, 1, 100_000, "lots", "Lots that trainers may follow here at once."
+    )
+    tls_certificate: str = Field(
+        default="", description="Path of the certificate for api_address."
+    )
+    tls_key: str = Field(default="", description="Path of the certificate's key.")
+
+    @field_validator("process", "failure_domain")
+    @classmethod
+    def _check_name(cls, value: str, info: ValidationInfo) -> str:
+        check_name(str(info.field_name), value)
+        return value
+
+    @field_validator(
+        "store_address",
+        "client_address",
+        "ready_address",
+        "metrics_address",
+        "api_address",
+        "duty_address",
+    )
+    @classmethod
+    def _check_address(cls, value: str, info: ValidationInfo) -> str:
+        if info.field_name == "store_address" and not value:
+            raise ValueError("must be NUMBER:PORT, such as 127.0.0.1:7400")
+        return check_address(value)
 
     @field_validator("max_timeout")
     @classmethod
@@ -92,42 +142,25 @@
             raise ValueError(f"must be at least default_timeout, {default} s")
         return value
 
-    @field_validator("lease_renewal_interval")
-    @classmethod
-    def _check_renewal(cls, value: float, info: ValidationInfo) -> float:
-        duration = info.data.get("lease_duration")
-        if duration is not None and value > duration / 3:
-            raise ValueError(f"must be at most a third of lease_duration, {duration} s")
-        return value
-
-    @field_validator("lease_margin")
+    @field_validator("max_append_bytes")
     @classmethod
-    def _check_margin(cls, value: float, info: ValidationInfo) -> float:
-        duration = info.data.get("lease_duration")
-        if duration is not None and value > duration / 2:
-            raise ValueError(f"must be at most half of lease_duration, {duration} s")
+    def _check_append(cls, value: int, info: ValidationInfo) -> int:
+        record = info.data.get("max_record_bytes")
+        if record is not None and value < record:
+            raise ValueError(f"must be at least max_record_bytes, {record} bytes")
         return value
 
-    @field_validator("order_timeout")
+    @field_validator("usage_due")
     @classmethod
-    def _check_order_timeout(cls, value: float, info: ValidationInfo) -> float:
-        duration = info.data.get("lease_duration")
-        margin = info.data.get("lease_margin")
-        if duration is None or margin is None:
-            return value
-        if value >= duration - margin:
-            raise ValueError(
-                "must be under lease_duration less lease_margin, "
-                f"{duration - margin} s, or the order outlives the lease"
-            )
+    def _check_due(cls, value: float, info: ValidationInfo) -> float:
+        window = info.data.get("usage_window")
+        if window is not None and value < window:
+            raise ValueError(f"must be at least usage_window, {window} s")
         return value
 
-    @field_validator("log_retention")
+    @field_validator("tls_key")
     @classmethod
-    def _check_retention(cls, value: float, info: ValidationInfo) -> float:
-        interval = info.data.get("snapshot_interval")
-        if interval is not None and value < 3 * interval:
-            raise ValueError(
-                f"must be at least three times snapshot_interval, {3 * interval} s"
-            )
+    def _check_tls(cls, value: str, info: ValidationInfo) -> str:
+        if bool(value) != bool(info.data.get("tls_certificate")):
+            raise ValueError("must be set together with tls_certificate")
         return value
--- a/buckthornstile/settings/_load.py
+++ b/buckthornstile/settings/_load.py
@@ -5,12 +5,11 @@
 from enum import Enum
 from typing import Any, TypeVar
 
-from pydantic import SecretStr, ValidationError
+from pydantic import ValidationError
 from pydantic.fields import FieldInfo
 from pydantic_core import ErrorDetails
 
 from buckthornstile.base import BuckthornstileError, ErrorCode
-from buckthornstile.settings._agent import AgentSettings
 from buckthornstile.settings._common import (
     ENVIRONMENT_PREFIX,
     CommonSettings,
@@ -21,11 +20,9 @@
 
 S = TypeVar("S", bound=CommonSettings)
 
-HIDDEN = "(hidden)"
 MAX_SHOWN_VALUE = 80
 ROLES: tuple[type[CommonSettings], ...] = (
     EntrySettings,
-    AgentSettings,
     OperatorSettings,
 )
 
@@ -45,10 +42,9 @@
             for each setting that is wrong.
 
     Example:
-        >>> flags = {"platform_url": "http://127.0.0.1:1", "platform_timeout": "0"}
-        >>> load_settings(OperatorSettings, flags)
+        >>> load_settings(OperatorSettings, {"store_timeout": "0"})
         Traceback (most recent call last):
-        buckthornstile.base._errors.BuckthornstileError: platform_timeout is '0'; it
+        buckthornstile.base._errors.BuckthornstileError: store_timeout is '0'; it
         must be from 0.05 s to 60 s
     """
     try:
@@ -60,7 +56,7 @@
 
 
 def describe_settings(settings: CommonSettings) -> dict[str, str]:
-    """Describes settings with secrets hidden.
+    """Describes settings.
 
     Args:
         settings: The settings.
@@ -69,10 +65,7 @@
         Each setting's value with its unit, by name.
 
     Example:
-        >>> settings = load_settings(
-        ...     OperatorSettings, {"platform_url": "http://127.0.0.1:1"}
-        ... )
-        >>> describe_settings(settings)["platform_timeout"]
+        >>> describe_settings(load_settings(OperatorSettings))["store_timeout"]
         '2.0 s'
     """
     described = {}
@@ -152,7 +145,7 @@
     if item["type"] == "missing":
         expected = f" ({allowed})" if allowed else ""
         return f"{name} is not set; give --{name} or {variable}{expected}"
-    shown = HIDDEN if info.annotation is SecretStr else _show_input(item["input"])
+    shown = _show_input(item["input"])
     if item["type"] == "value_error":
         reason = str(item["ctx"]["error"])
         is_sentence = reason.startswith(name)
@@ -175,8 +168,6 @@
 
 
 def _show(value: object) -> str:
-    if isinstance(value, SecretStr):
-        return HIDDEN
     if isinstance(value, Enum):
         return str(value.value)
     return str(value)
--- a/buckthornstile/settings/_operator.py
+++ b/buckthornstile/settings/_operator.py
@@ -2,15 +2,23 @@
 
 from pydantic import Field, field_validator
 
-from buckthornstile.settings._common import CommonSettings, check_url, make_number
+from buckthornstile.settings._common import (
+    CommonSettings,
+    check_address,
+    check_url,
+    make_number,
+)
 
 
 class OperatorSettings(CommonSettings):
     """Settings of the operators' commands."""
 
-    platform_url: str = Field(
+    store_address: str = Field(
         default="",
-        description="Base URL of the platform's services; for what uses the log.",
+        description="The platform's store, as NUMBER:PORT; for what reads it.",
+    )
+    store_timeout: float = make_number(
+        2.0, 0.05, 60, "s", "Time after which a call to the store is unanswered."
     )
     entries: str = Field(
         default="",
@@ -26,6 +34,11 @@
         json_schema_extra={"unit": "characters"},
     )
 
+    @field_validator("store_address")
+    @classmethod
+    def _check_store_address(cls, value: str) -> str:
+        return check_address(value)
+
     @field_validator("entries")
     @classmethod
     def _check_entries(cls, value: str) -> str:
@@ -36,10 +49,7 @@
         """Lists the base URLs of the entries.
 
         Example:
-            >>> settings = OperatorSettings(
-            ...     platform_url="http://127.0.0.1:1", entries="http://127.0.0.2:2"
-            ... )
-            >>> settings.list_entries()
+            >>> OperatorSettings(entries="http://127.0.0.2:2").list_entries()
             ('http://127.0.0.2:2',)
         """
         return tuple(url for url in self.entries.split(",") if url)
--- a/buckthornstile/sheet/_parse.py
+++ b/buckthornstile/sheet/_parse.py
@@ -5,7 +5,7 @@
 from pydantic import ValidationError
 
 from buckthornstile.base import AccountId, KeyId, check_name
-from buckthornstile.records import (
+from buckthornstile.configuration import (
     ANY_ACCOUNT,
     Account,
     ConfigurationItem,
--- a/buckthornstile/sheet/_plan.py
+++ b/buckthornstile/sheet/_plan.py
@@ -9,12 +9,14 @@
     ErrorCode,
     Revision,
 )
-from buckthornstile.configuration import Configuration, NewKey, make_key
-from buckthornstile.records import (
+from buckthornstile.configuration import (
+    Configuration,
     ConfigurationChange,
     ConfigurationItem,
     ItemName,
     Key,
+    NewKey,
+    make_key,
 )
 from buckthornstile.sheet._errors import SheetError, SheetErrorCode, SheetProblem
 from buckthornstile.sheet._parse import Sheet, SheetKey
--- a/buckthornstile/sheet/tests/test_sheet.py
+++ b/buckthornstile/sheet/tests/test_sheet.py
@@ -11,8 +11,13 @@
 from hypothesis import strategies as st
 
 from buckthornstile.base import BuckthornstileError, ErrorCode
-from buckthornstile.configuration import EMPTY_CONFIGURATION, apply_change
-from buckthornstile.records import Account, Drain, Rule
+from buckthornstile.configuration import (
+    EMPTY_CONFIGURATION,
+    Account,
+    Drain,
+    Rule,
+    apply_change,
+)
 from buckthornstile.sheet import (
     COLUMNS,
     SheetError,
--- /dev/null
+++ b/buckthornstile/tails/__init__.py
@@ -0,0 +1,5 @@
+"""Following the partitions of the store."""
+
+from buckthornstile.tails._tail import Tail
+
+__all__ = ["Tail"]
--- a/buckthornstile/topology/__init__.py
+++ b/buckthornstile/topology/__init__.py
@@ -10,10 +10,11 @@
     Service,
     Upstream,
 )
-from buckthornstile.topology._view import LAPSE_GRACE, TopologyView
+from buckthornstile.topology._view import LAPSE_GRACE, OWN_HOST, TopologyView
 
 __all__ = [
     "LAPSE_GRACE",
+    "OWN_HOST",
     "Account",
     "ClientLimits",
     "Configuration",
--- a/buckthornstile/topology/_view.py
+++ b/buckthornstile/topology/_view.py
@@ -1,6 +1,6 @@
 """The fold of what operators and upstreams wrote, as one process knows it."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
 from buckthornstile.base import FailureDomain, ServiceName, UpstreamId
@@ -12,6 +12,9 @@
     Upstream,
 )
 
+OWN_HOST = ""
+"""Host of the routes of the product's own interface; their prefix is a name that no
+path of a client can be."""
 LAPSE_GRACE = 2.0
 """Seconds after the store's return within which lapsed entries are back."""
 LATE_WRITE = 6.0
@@ -52,7 +55,9 @@
         self._cold_until: dict[UpstreamId, float] = {}
         self._seen_versions: dict[UpstreamId, tuple[int, dict[ModelName, int]]] = {}
         self._traces: dict[UpstreamId, _Trace] = {}
+        self.drained: frozenset[FailureDomain] = frozenset()
         self._routes: dict[str, list[Route]] = {}
+        self._own_routes: dict[str, Route] = {}
         self._accounts: dict[str, Account] = {}
 
     def apply_configuration(self, configuration: Configuration) -> bool:
@@ -78,6 +83,13 @@
         else:
             self.evacuated.discard(zone)
 
+    def replace_own_configuration(
+        self, routes: Iterable[Route], drained: Iterable[FailureDomain]
+    ) -> None:
+        """Puts the routes and drains of the product's own interface in force."""
+        self._own_routes = {route.path_prefix: route for route in routes}
+        self.drained = frozenset(drained)
+
     def replace_evacuations(self, zones: set[FailureDomain]) -> None:
         """Puts a whole list of evacuated failure domains in force."""
         self.evacuated = set(zones)
@@ -186,7 +198,12 @@
         return max(version, seen.get(model, 0)) if born == upstream.born else version
 
     def find_route(self, host: str, path: str) -> Route | None:
-        """Finds the route with the longest prefix that begins the path."""
+        """Finds the route with the longest prefix that begins the path.
+
+        A route of the product's own interface is found by its name.
+        """
+        if host == OWN_HOST:
+            return self._own_routes.get(path)
         for route in self._routes.get(host, ()):
             if path.startswith(route.path_prefix):
                 return route
@@ -204,4 +221,22 @@
             if upstream.service == service
             and not upstream.is_draining
             and upstream.zone not in self.evacuated
+            and upstream.zone not in self.drained
         ]
+
+    def list_model_services(self) -> dict[ServiceName, tuple[ModelName, ...]]:
+        """Lists the services whose upstreams hold models, and which models.
+
+        Those of services that are not configured are what their upstreams hold.
+        """
+        configured = self.configuration.services if self.configuration else {}
+        found: dict[ServiceName, set[ModelName]] = {}
+        for upstream in self.upstreams.values():
+            if upstream.service not in configured and upstream.versions:
+                found.setdefault(upstream.service, set()).update(upstream.versions)
+        services = {
+            service.name: service.models
+            for service in configured.values()
+            if service.models
+        }
+        return services | {name: tuple(sorted(found[name])) for name in found}
--- a/examples/morning_sheet.py
+++ b/examples/morning_sheet.py
@@ -1,6 +1,6 @@
 """An operator's morning: plan the sheet, apply it, and look that all is well.
 
-Run it with ``python -m examples.morning_sheet SHEET PLATFORM_URL URL,URL``.
+Run it with ``python -m examples.morning_sheet SHEET STORE_ADDRESS URL,URL``.
 """
 
 import json
@@ -18,7 +18,7 @@
     return ended.returncode, json.loads(ended.stdout)
 
 
-def apply_morning_sheet(sheet: str, platform: str, entries: str) -> dict[str, str]:
+def apply_morning_sheet(sheet: str, store: str, entries: str) -> dict[str, str]:
     """Plans a sheet, applies it and shows the entries' state.
 
     Returns:
@@ -27,7 +27,7 @@
     Raises:
         RuntimeError: The sheet was refused.
     """
-    flags = [f"--platform_url={platform}", f"--entries={entries}"]
+    flags = [f"--store_address={store}", f"--entries={entries}"]
     status, plan = run("config", "plan", sheet, flags[0])
     if status:
         raise RuntimeError(plan["message"])
@@ -40,10 +40,9 @@
     print(f"revision {applied['revision']}, not yet in force on {behind or 'none'}")
     _, answer = run("status", flags[1])
     for url, state in answer["entries"].items():
-        agents = len(state["agents"])
-        print(
-            f"{url} has revision {state['configuration']['revision']}, {agents} agents"
-        )
+        upstreams = len(state["upstreams"])
+        revision = state["configuration"]["revision"]
+        print(f"{url} has revision {revision} and knows {upstreams} upstreams")
     return applied["keys"]
 
 
--- a/standins/store/_application.py
+++ b/standins/store/_application.py
@@ -16,6 +16,7 @@
 POLL = 0.01  # seconds between two looks of a read that waits
 MAX_WAIT = 30.0  # seconds
 PAGE = 500
+SHOWN_TOPICS = frozenset({"keyed.configuration", "keyed.versions", "duties"})
 
 
 class StoreHandler(web.RequestHandler):
@@ -89,7 +90,10 @@
             )
         except Refused as refused:
             return refused.status, refused.fields
-        self.journal.add("append", topic=topic, offset=offset)
+        # Only what checkers look for: progress and presence would fill the journal.
+        if topic in SHOWN_TOPICS:
+            data = self.request.body.decode(errors="replace")
+            self.journal.add("append", topic=topic, offset=offset, data=data)
         return 200, {"offset": offset, "end": partition.end}
 
 
@@ -147,19 +151,33 @@
         self.write({})
 
 
+class DropHandler(StoreHandler):
+    """``POST /control/drop``: removes a worker's entry, as one that ran out."""
+
+    def post(self) -> None:
+        """Drops a key of the workers' topic."""
+        name = json.loads(self.request.body)["key"].encode()
+        partition = self.log.get("keyed.servers", 0)
+        partition.append([bytes([len(name)]) + name])
+        self.write({})
+
+
 class DutyHandler(StoreHandler):
     """``POST /usage`` and ``POST /scale``: the calls that one holder makes."""
 
     target = "duty"
 
     def post(self) -> None:
-        """Notes a call with its holder and term."""
+        """Notes a call with its holder and term, and may lose its answer."""
         self.journal.add(
             self.request.path.strip("/"),
             holder=self.request.headers.get("Duty-Holder", ""),
             term=int(self.request.headers.get("Fencing-Token", "-1")),
             body=json.loads(self.request.body),
         )
+        if self.faults.take("lose_answer", self.target):
+            drop_connection(self)
+            return
         self.write({})
 
 
@@ -180,6 +198,7 @@
             (r"/-/log-read", ReadHandler, shared),
             (r"/-/log-newest", NewestHandler, shared),
             (r"/control/compact", CompactHandler, shared),
+            (r"/control/drop", DropHandler, shared),
             (r"/usage", DutyHandler, shared),
             (r"/scale", DutyHandler, shared),
             *make_control_routes(faults, journal),
