--- a/buckthornstile/api/_lots.py
+++ b/buckthornstile/api/_lots.py
@@ -167,6 +167,7 @@
             raise BuckthornstileError(
                 ErrorCode.QUEUE_FULL, f"{self.open} lots are open", retry_after=1.0
             )
+        await self._follow(attach)
         job = await self._open_job(attach)
         log_event(
             "lot.attached",
@@ -212,6 +213,25 @@
             set(bounded.iterate_slots()) - received,
         )
 
+    async def _follow(self, attach: _Attach) -> None:
+        """Has the account's partition followed here, and waits until it is read.
+
+        Raises:
+            BuckthornstileError: ``PLATFORM_UNAVAILABLE``: the store did not answer.
+        """
+        jobs = self.tools.jobs
+        part = jobs.find_part(attach.grant.account.name)
+        end = self.tools.clock() + JOB_WAIT
+        jobs.follow(part)
+        while not jobs.is_followed(part):
+            if self.tools.clock() > end:
+                raise BuckthornstileError(
+                    ErrorCode.PLATFORM_UNAVAILABLE,
+                    "the account's lots could not be read from the store",
+                    retry_after=POLL_PERIOD,
+                )
+            await asyncio.sleep(POLL_PERIOD / 5)
+
     async def _open_job(self, attach: _Attach) -> Job:
         """Finds or makes the job of the samples that a lot lacks.
 
@@ -233,7 +253,7 @@
                 minimum=minimum,
                 submitted_at=self.tools.wall_clock(),
             )
-            owner = self.tools.choose_first_owner(job_id)
+            owner = self.tools.choose_first_owner(job_id, account)
             await self.tools.jobs.accept(specification, owner)
             log_event("job.accepted", job=job_id, lot=attach.lot, owner=owner)
             job = await self._wait_for_job(job_id)
@@ -273,7 +293,7 @@
     async def _end_older(self, lot: LotId, minimum: int) -> None:
         for job in self._find_jobs(lot):
             if job.specification.minimum_version < minimum and not job.is_finished():
-                await self.tools.jobs.end(job.id)
+                await self.tools.jobs.end(job)
 
     def _find_jobs(self, lot: LotId) -> list[Job]:
         prefix = make_lot_name(lot) + "."
@@ -317,6 +337,7 @@
         position = 0
         while attach.missing:
             self._check(attach)
+            self.tools.jobs.follow(job.part)
             minimum = self._find_minimum(attach)
             if minimum > job.specification.minimum_version:
                 job, position = await self._open_job(attach), 0
--- a/buckthornstile/api/_tools.py
+++ b/buckthornstile/api/_tools.py
@@ -9,6 +9,7 @@
 from buckthornstile.api._requests import ApiRequest
 from buckthornstile.api._revocation import Revocation, make_withdrawn
 from buckthornstile.base import (
+    AccountId,
     BuckthornstileError,
     ErrorCode,
     KeyId,
@@ -41,7 +42,7 @@
     metrics: GatewayMetrics
     clock: Callable[[], float]
     wall_clock: Callable[[], float]
-    choose_first_owner: Callable[[JobId], ProcessName]
+    choose_first_owner: Callable[[JobId, AccountId], ProcessName]
     is_stopping: Callable[[], bool]
 
 
--- a/buckthornstile/calls/_types.py
+++ b/buckthornstile/calls/_types.py
@@ -125,7 +125,6 @@
     headers: Headers
     is_refusal: bool = False
     is_encoded: bool = False
-    is_leaving: bool = False
     signature: str = ""
     load: UpstreamLoad | None = None
     version: int | None = None
--- a/buckthornstile/duties/_usage.py
+++ b/buckthornstile/duties/_usage.py
@@ -63,22 +63,22 @@
     def __init__(self, window: float) -> None:
         self.window = window
         self._counts: dict[int, dict[ProcessName, Mapping[str, int]]] = {}
-        self._heard_at: dict[ProcessName, float] = {}
+        self._counted_at: dict[ProcessName, float] = {}
 
     def apply(
         self,
         process: ProcessName,
         counts: Mapping[int, Mapping[str, int]],
-        wall: float,
+        made_at: float,
     ) -> None:
         """Notes a process's running counts; the newest replace earlier ones.
 
         Args:
             process: The process.
             counts: Its counts, by window and account.
-            wall: When they were read here, in seconds since the epoch.
+            made_at: When it counted them, in seconds since the epoch by its clock.
         """
-        self._heard_at[process] = wall
+        self._counted_at[process] = made_at
         for window, by_account in counts.items():
             self._counts.setdefault(window, {})[process] = by_account
         newest = max(self._counts, default=0)
@@ -111,8 +111,8 @@
             due: Seconds after its end for which a report is still worth something.
             live: The processes that live.
         """
-        heard_from_all = min(
-            (self._heard_at.get(name, -inf) for name in live), default=inf
+        counted_by_all = min(
+            (self._counted_at.get(name, -inf) for name in live), default=inf
         )
         last = int((wall - SEAL_MARGIN) // self.window) - 1
         oldest = int((wall - due) // self.window)
@@ -122,7 +122,7 @@
             for window in range(max(first, oldest), last + 1)
             if window not in seals
             and (
-                heard_from_all >= (window + 1) * self.window
+                counted_by_all >= (window + 1) * self.window
                 or wall >= (window + 1) * self.window + PATIENCE_SHARE * due
             )
         ]
--- a/buckthornstile/entry/_daemon.py
+++ b/buckthornstile/entry/_daemon.py
@@ -40,15 +40,20 @@
     ClientHandlers,
     Control,
     Fleet,
+    Followers,
     GatewayMetrics,
     HandlerTools,
     JobOwner,
     JobStore,
     JobTools,
+    LeaseKeeper,
+    LoadOrders,
+    PeerClient,
     PresenceRecord,
     PresenceTable,
     StreamRelay,
     StreamRunner,
+    UsageReports,
     Watch,
     decode_presence,
     make_error_reply,
@@ -70,6 +75,8 @@
 """Seconds; longer than any configured idle timeout of clients."""
 READY_AGE = 2.5
 """Seconds without the store after which no new clients are asked for."""
+SETTLE_TIME = 0.3
+"""Seconds after the first reading of presence records until they are acted on."""
 PRESENCE_WAIT = 0.4
 PRESENCE_PAUSE = 0.1
 DRAIN_TIME = 3.0
@@ -234,6 +241,7 @@
 
     def _make_jobs(self) -> None:
         settings = self.settings
+        self.followers = Followers(self.name, self.presence)
         self.jobs = JobStore(
             self.store,
             parts=settings.store_parts,
@@ -243,6 +251,8 @@
             clock=self.clock,
             wall_clock=self.read_wall,
             on_change=self._note_job,
+            follows=self.followers.follows,
+            may_load=self._may_load_jobs,
         )
         tools = JobTools(
             view=self.view,
@@ -257,6 +267,7 @@
             self.name,
             tools,
             self.presence,
+            followers=self.followers,
             clock=self.clock,
             lifetime=settings.result_lifetime,
             is_withdrawn=self._is_withdrawn,
@@ -264,27 +275,36 @@
 
     def _make_control(self) -> None:
         settings = self.settings
+        keeper = LeaseKeeper(
+            self.name,
+            store=self.store,
+            clock=self.clock,
+            turn_bound=settings.turn_bound,
+        )
         planner = LoadPlanner(
             self.view, clock=self.clock, is_suspect=self.fleet.is_suspect
         )
-        has_duties = bool(settings.duty_address)
-        self.control = Control(
-            self.name,
+        orders = LoadOrders(
             settings.process,
-            store=self.store,
+            keeper,
             view=self.view,
             planner=planner,
-            totals=self.totals,
-            client=DutyClient(settings.duty_address) if has_duties else None,
             pool=self.pool,
-            clock=self.clock,
-            wall_clock=self.read_wall,
-            turn_bound=settings.turn_bound,
-            usage_due=settings.usage_due,
-            list_live=self.presence.list_live,
             on_news=self._news.set,
             note_failure=self.fleet.note_failure,
         )
+        reports = None
+        if settings.duty_address:
+            reports = UsageReports(
+                settings.process,
+                keeper,
+                totals=self.totals,
+                client=DutyClient(settings.duty_address),
+                wall_clock=self.read_wall,
+                due=settings.usage_due,
+                list_live=self.presence.list_live,
+            )
+        self.control = Control(keeper, orders, reports)
 
     def _make_platform_doors(self) -> None:
         settings = self.settings
@@ -301,11 +321,13 @@
                 choose_first_owner=self.owner.choose_first_owner,
                 key_bound=settings.key_bound,
                 fails_closed=settings.fails_closed,
+                peers=PeerClient(self.name, self.followers, self.presence, self.pool),
             )
         )
         self.client_door = self._add_door(handlers.handle, settings.client_address)
         self._add_door(self._answer_ready, settings.ready_address)
         self._add_door(self._answer_metrics, settings.metrics_address)
+        self._add_door(handlers.handle_forwarded, settings.peer_address)
 
     def _add_door(
         self,
@@ -380,18 +402,18 @@
             "configuration_version": getattr(self.view.configuration, "version", 0),
             "configuration_revision": revision,
             "configuration_age_seconds": self.watch.operator.get_age(),
-            "jobs_age_seconds": max(tail.get_age() for tail in self.jobs.tails),
-            "holds_lease": float(self.control.lease.holds()),
+            "jobs_age_seconds": self.jobs.get_age(),
+            "holds_lease": float(self.control.keeper.lease.holds()),
             "ready": float(self.is_ready()),
         }
         return self.metrics.render(self.events.counters, gauges)
 
     def _read_state(self) -> ProcessState:
-        fold = self.control.fold
+        fold = self.control.keeper.fold
         return ProcessState(
             ready=self.is_ready(),
             stopping=self.is_stopping,
-            is_holder=self.control.lease.holds(),
+            is_holder=self.control.keeper.lease.holds(),
             term=fold.term,
             holder=fold.holder,
             jobs=self.owner.count_running(),
@@ -406,6 +428,14 @@
             self.client_door.max_body_bytes = limits.max_body_bytes
             self.client_door.max_header_bytes = limits.max_header_bytes
 
+    def _may_load_jobs(self) -> bool:
+        """Whether what calls need is read, so that jobs may be loaded beside it."""
+        if self.presence_tail.returned_at < 0:
+            return False
+        is_settled = self.clock() - self.presence_tail.returned_at > SETTLE_TIME
+        is_read = self.watch.operator.is_loaded and self.watch.upstreams.is_loaded
+        return is_settled and is_read
+
     def _note_job(self, job: Job) -> None:
         self.owner.note_change(job)
 
@@ -436,7 +466,7 @@
             log_event("presence.unreadable", offset=offset, reason=error)
             return
         self.presence.apply(record)
-        self.totals.apply(record.name, record.counts, self.read_wall())
+        self.totals.apply(record.name, record.counts, record.made_at)
         for upstream_id, (born, versions) in record.versions.items():
             self.view.note_versions(upstream_id, born, versions)
 
@@ -472,12 +502,16 @@
                     await self._news.wait()
 
     async def _announce_once(self) -> None:
+        now = self.read_wall()
         record = PresenceRecord(
             self.name,
             self.settings.process,
             is_leaving=self.is_stopping,
-            counts=self.counter.get_counts(self.read_wall()),
-            versions=self.control.list_fresh_versions(),
+            counts=self.counter.get_counts(now),
+            versions=self.control.orders.list_fresh_versions(),
+            zone=self.settings.failure_domain,
+            address=self.settings.peer_address,
+            made_at=now,
         )
         try:
             await self.store.append(PRESENCE_TOPIC, 0, [record.encode()])
@@ -488,7 +522,7 @@
         log_event("process.drain", open=sum(door.open for door in self.doors))
         self.is_stopping = True
         self.owner.is_leaving = True
-        self.control.is_leaving = True
+        self.control.keeper.is_leaving = True
         for door in self.doors:
             if door.handler != self._answer_ready:
                 door.start_closing()
--- a/buckthornstile/entry/tests/world.py
+++ b/buckthornstile/entry/tests/world.py
@@ -208,6 +208,8 @@
                 "bounds": {"usageWindowS": 1, "leaseMs": 900, "graceS": 5},
             }
         )
+        peer_address = f"127.0.0.1:{find_port()}"
+        settings = settings.model_copy(update={"peer_address": peer_address})
         events = EventLineHandler(settings.process, descriptor=self.descriptor)
         gateway = self.gateways[name] = Entry(settings, events)
         self.tasks[name] = asyncio.create_task(gateway.run())
--- a/buckthornstile/gateway/__init__.py
+++ b/buckthornstile/gateway/__init__.py
@@ -3,6 +3,7 @@
 from buckthornstile.gateway._calls import CallSender
 from buckthornstile.gateway._control import Control
 from buckthornstile.gateway._fleet import Fleet
+from buckthornstile.gateway._followers import Followers
 from buckthornstile.gateway._handlers import (
     ClientHandlers,
     HandlerTools,
@@ -11,7 +12,10 @@
 from buckthornstile.gateway._item_work import JobTools
 from buckthornstile.gateway._job_owner import JobOwner
 from buckthornstile.gateway._job_store import JobStore
+from buckthornstile.gateway._lease_keeper import LeaseKeeper
+from buckthornstile.gateway._load_orders import LoadOrders
 from buckthornstile.gateway._metrics import GatewayMetrics
+from buckthornstile.gateway._peers import PeerClient
 from buckthornstile.gateway._presence import (
     PRESENCE_PERIOD,
     PRESENCE_TOPIC,
@@ -21,6 +25,7 @@
 )
 from buckthornstile.gateway._relay import StreamRelay
 from buckthornstile.gateway._streams import StreamRunner
+from buckthornstile.gateway._usage_reports import UsageReports
 from buckthornstile.gateway._watch import Watch
 
 __all__ = [
@@ -30,15 +35,20 @@
     "ClientHandlers",
     "Control",
     "Fleet",
+    "Followers",
     "GatewayMetrics",
     "HandlerTools",
     "JobOwner",
     "JobStore",
     "JobTools",
+    "LeaseKeeper",
+    "LoadOrders",
+    "PeerClient",
     "PresenceRecord",
     "PresenceTable",
     "StreamRelay",
     "StreamRunner",
+    "UsageReports",
     "Watch",
     "decode_presence",
     "make_error_reply",
--- a/buckthornstile/gateway/_handlers.py
+++ b/buckthornstile/gateway/_handlers.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
+from typing import Any
 from urllib.parse import parse_qs
 
 from buckthornstile.base import (
@@ -18,11 +19,12 @@
 from buckthornstile.gateway._calls import CallSender
 from buckthornstile.gateway._job_store import JobStore
 from buckthornstile.gateway._metrics import GatewayMetrics
+from buckthornstile.gateway._peers import PeerClient
 from buckthornstile.gateway._relay import StreamRelay
 from buckthornstile.gateway._watch import Watch
 from buckthornstile.jobs import Job, JobId
 from buckthornstile.logs import log_event
-from buckthornstile.platform import Door, decode_job, find_door, render_results
+from buckthornstile.platform import Subject, decode_job, find_subject, render_results
 from buckthornstile.topology import Account, Route, RouteKind, TopologyView
 
 KEY_BOUND_SHARE = 0.9
@@ -52,7 +54,8 @@
     clock: Callable[[], float]
     wall_clock: Callable[[], float]
     metrics: GatewayMetrics
-    choose_first_owner: Callable[[JobId], ProcessName]
+    choose_first_owner: Callable[[JobId, AccountId], ProcessName]
+    peers: PeerClient
     key_bound: float
     fails_closed: bool
 
@@ -65,8 +68,19 @@
 
     async def handle(self, request: ClientRequest) -> Reply | StreamReply:
         """Answers one request; failures become an honest status."""
+        return await self._answer(request, self._dispatch(request))
+
+    async def handle_forwarded(self, request: ClientRequest) -> Reply | StreamReply:
+        """Answers a request about a job that another entry passed on."""
+        return await self._answer(request, self._serve_job(request))
+
+    async def _answer(
+        self,
+        request: ClientRequest,
+        work: Coroutine[Any, Any, Reply | StreamReply],
+    ) -> Reply | StreamReply:
         try:
-            return await self._dispatch(request)
+            return await work
         except BuckthornstileError as error:
             reply = make_error_reply(error)
             log_event(
@@ -83,11 +97,9 @@
             return reply
 
     async def _dispatch(self, request: ClientRequest) -> Reply | StreamReply:
-        door, name = find_door(request.path)
-        if door is Door.JOB:
-            return await self._handle_job(request, JobId(name))
-        if door is Door.ITEM:
-            return await self._read_item(request, JobId(name))
+        subject, _ = find_subject(request.path)
+        if subject in (Subject.JOB, Subject.ITEM):
+            return await self._serve_or_forward(request)
         route = self._find_route(request)
         account = self._authenticate(request, route.is_open)
         if route.kind is RouteKind.ROLLOUT:
@@ -177,7 +189,7 @@
     async def _submit(
         self, request: ClientRequest, route: Route, account: Account | None
     ) -> Reply:
-        owner = account.name if account else AccountId("")
+        owner = _get_name(account)
         known = self.tools.jobs.table.find(JobId(request.id))
         if known is not None and known.specification.account == owner:
             return Reply(202)
@@ -188,7 +200,7 @@
             route=route,
             submitted_at=self.tools.wall_clock(),
         )
-        first_owner = self.tools.choose_first_owner(specification.id)
+        first_owner = self.tools.choose_first_owner(specification.id, owner)
         await self.tools.jobs.accept(specification, first_owner)
         log_event(
             "job.accepted",
@@ -202,8 +214,41 @@
         )
         return Reply(202)
 
-    async def _handle_job(self, request: ClientRequest, job_id: JobId) -> Reply:
+    async def _serve_or_forward(self, request: ClientRequest) -> Reply:
+        """Answers a request about a job, here or where its partition is followed."""
+        jobs = self.tools.jobs
+        part = jobs.find_part(_get_name(self._authenticate(request)))
+        if jobs.is_followed(part):
+            return await self._serve_job(request)
+        try:
+            return await self.tools.peers.forward(request, part)
+        except BuckthornstileError:
+            # Followed from now on, it is known here when the client comes again.
+            jobs.follow(part)
+            raise
+
+    async def _serve_job(self, request: ClientRequest) -> Reply:
         account = self._authenticate(request)
+        if not self.tools.jobs.is_followed(
+            self.tools.jobs.find_part(_get_name(account))
+        ):
+            raise BuckthornstileError(
+                ErrorCode.PLATFORM_UNAVAILABLE,
+                "the job's partition is not followed here",
+                retry_after=RETRY_HINT,
+            )
+        subject, name = find_subject(request.path)
+        if subject is Subject.ITEM:
+            return await self._read_item(request, JobId(name), account)
+        if subject is Subject.JOB:
+            return await self._handle_job(request, JobId(name), account)
+        raise BuckthornstileError(
+            ErrorCode.ROUTE_UNKNOWN, f"no job's path {request.path[:60]!r}"
+        )
+
+    async def _handle_job(
+        self, request: ClientRequest, job_id: JobId, account: Account | None
+    ) -> Reply:
         if request.method == "DELETE":
             return await self._end_job(job_id, account)
         if request.method != "GET":
@@ -220,8 +265,9 @@
         body = render_results(job.results, total, start)
         return Reply(200, body, (("Content-Type", "application/json"),))
 
-    async def _read_item(self, request: ClientRequest, job_id: JobId) -> Reply:
-        account = self._authenticate(request)
+    async def _read_item(
+        self, request: ClientRequest, job_id: JobId, account: Account | None
+    ) -> Reply:
         job = await self._find_job(job_id, account)
         names = parse_qs(request.query).get("id", [""])
         for item in job.find_open_items():
@@ -234,7 +280,7 @@
     async def _end_job(self, job_id: JobId, account: Account | None) -> Reply:
         job = await self._find_job(job_id, account)
         if not job.ended:
-            await self.tools.jobs.end(job_id)
+            await self.tools.jobs.end(job)
             log_event("job.ended", job=job_id, listed=len(job.results))
         return Reply(200)
 
@@ -242,7 +288,8 @@
         table = self.tools.jobs.table
         job = table.find(job_id)
         if job is None:
-            tail = self.tools.jobs.find_tail(job_id)
+            part = self.tools.jobs.find_part(_get_name(account))
+            tail = self.tools.jobs.tails[part]
             if not await tail.wait_until_fresh(CATCH_UP_TIME):
                 raise BuckthornstileError(
                     ErrorCode.PLATFORM_UNAVAILABLE,
@@ -250,7 +297,7 @@
                     retry_after=RETRY_HINT,
                 )
             job = table.find(job_id)
-        owner = account.name if account else AccountId("")
+        owner = _get_name(account)
         if job is None or job.specification.account != owner:
             raise BuckthornstileError(
                 ErrorCode.LOT_UNKNOWN, f"job {job_id!r} does not exist"
@@ -299,6 +346,10 @@
     return Reply(status, body, (("Content-Type", "text/plain"),), error.retry_after)
 
 
+def _get_name(account: Account | None) -> AccountId:
+    return account.name if account else AccountId("")
+
+
 def _read_position(request: ClientRequest) -> int:
     value = parse_qs(request.query).get("after", ["0"])[0]
     if not value.isdigit():
--- a/buckthornstile/gateway/_job_owner.py
+++ b/buckthornstile/gateway/_job_owner.py
@@ -3,7 +3,13 @@
 import asyncio
 from collections.abc import Callable
 
-from buckthornstile.base import BuckthornstileError, KeyId, ProcessName
+from buckthornstile.base import (
+    AccountId,
+    BuckthornstileError,
+    KeyId,
+    ProcessName,
+)
+from buckthornstile.gateway._followers import Followers
 from buckthornstile.gateway._item_work import JobTools
 from buckthornstile.gateway._job_runner import JobRunner
 from buckthornstile.gateway._presence import PresenceTable
@@ -29,6 +35,7 @@
         name: This process's name.
         tools: What all runners share.
         presence: Which processes live.
+        followers: Which of them follow which partitions.
         clock: The time in seconds; it must go on while suspended.
         lifetime: Seconds for which a job's results stay readable.
         is_withdrawn: Tells whether work under a key must stop.
@@ -40,10 +47,12 @@
         tools: JobTools,
         presence: PresenceTable,
         *,
+        followers: Followers,
         clock: Callable[[], float],
         lifetime: float,
         is_withdrawn: Callable[[KeyId], bool],
     ) -> None:
+        self.followers = followers
         self.is_withdrawn = is_withdrawn
         self.name = name
         self.tools = tools
@@ -67,12 +76,18 @@
             log_event("job.stop", job=job.id, ended=job.ended, owned=is_mine)
             self._runners.pop(job.id).stop()
 
-    def choose_first_owner(self, job: JobId) -> ProcessName:
+    def choose_first_owner(self, job: JobId, account: AccountId) -> ProcessName:
         """Chooses who runs a job that this process accepts."""
-        if not self.is_leaving:
+        part = self.tools.store.find_part(account)
+        if not self.is_leaving and self.tools.store.is_followed(part):
             return self.name
-        others = [name for name in self.presence.list_live() if name != self.name]
-        return choose_owner(job, others) or self.name
+        others = [
+            name for name in self.followers.list_followers(part) if name != self.name
+        ]
+        chosen = choose_owner(job, others)
+        if chosen is None:
+            self.tools.store.follow(part)
+        return chosen or self.name
 
     def count_running(self) -> int:
         """Counts the jobs that this process runs."""
@@ -103,7 +118,7 @@
         """Looks for jobs without a living owner until cancelled."""
         while True:
             await asyncio.sleep(CHECK_PERIOD)
-            if self.is_leaving or not self.tools.store.is_loaded():
+            if self.is_leaving:
                 continue
             await self._stop_withdrawn()
             await self._claim_orphans()
@@ -126,7 +141,7 @@
             log_event("job.key_lost", job=job.id, key=job.specification.key)
             self._runners.pop(job.id).stop()
             try:
-                await self.tools.store.end(job.id)
+                await self.tools.store.end(job)
             except BuckthornstileError as error:
                 log_event("job.end_failed", job=job.id, reason=error.message)
 
@@ -136,10 +151,7 @@
             return
         now = self.clock()
         for job in list(self.tools.store.table.jobs.values()):
-            if (
-                not self._is_orphan(job, live)
-                or choose_owner(job.id, live) != self.name
-            ):
+            if not self._is_orphan(job, live) or not self._is_chosen(job):
                 continue
             if now - self._claimed_at.get(job.id, -CLAIM_PERIOD) < CLAIM_PERIOD:
                 continue
@@ -151,6 +163,11 @@
             except BuckthornstileError as error:
                 log_event("job.claim_failed", job=job.id, reason=error.message)
 
+    def _is_chosen(self, job: Job) -> bool:
+        """Whether this process is the one that should run a job."""
+        candidates = self.followers.list_followers(job.part)
+        return choose_owner(job.id, candidates) == self.name
+
     def _is_orphan(self, job: Job, live: list[ProcessName]) -> bool:
         age = self.clock() - job.started_at
         is_over = job.is_finished() or age > job.get_lifetime(self.lifetime)
@@ -171,9 +188,8 @@
         if now - self._dropped_at < DROP_PERIOD:
             return
         self._dropped_at = now
-        live = self.presence.list_live()
         for job in self.tools.store.table.list_expired(now, self.lifetime):
-            if choose_owner(job.id, live) != self.name:
+            if not self._is_chosen(job):
                 continue
             try:
                 await self.tools.store.drop(job)
--- a/buckthornstile/gateway/_job_store.py
+++ b/buckthornstile/gateway/_job_store.py
@@ -1,9 +1,14 @@
-"""Keeps batch jobs in the store and follows what others write of them."""
+"""Keeps batch jobs in the store and follows what others write of them.
+
+All jobs of a client account stand in one partition, so that what an earlier job has
+stored of an item is known where a later one brings it again.
+"""
 
 import asyncio
 from collections.abc import Callable, Sequence
 
 from buckthornstile.base import (
+    AccountId,
     BuckthornstileError,
     ErrorCode,
     PlatformUnavailableError,
@@ -12,7 +17,6 @@
 )
 from buckthornstile.jobs import (
     Job,
-    JobId,
     JobRecord,
     JobSpecification,
     JobTable,
@@ -39,6 +43,10 @@
 JOB_PAUSE = 0.03
 """Seconds between two reads, so that results are fetched several at once."""
 FIRST_EPOCH = 1
+FOLLOW_PERIOD = 0.2
+"""Seconds between two looks at which partitions are to be followed."""
+LINGER = 8.0
+"""Seconds for which a partition is followed on after the last reason to."""
 APPEND_TIMEOUT = 0.8
 """Seconds for one append; ten times a slow store's usual answer."""
 ACCEPT_TIME = 2.5
@@ -61,6 +69,8 @@
         clock: The time in seconds; it must go on while suspended.
         wall_clock: Seconds since the epoch.
         on_change: Called with a job after a record changed it.
+        follows: Tells whether this process is to follow a partition.
+        may_load: Tells whether partitions may be loaded now.
     """
 
     def __init__(
@@ -74,7 +84,11 @@
         clock: Callable[[], float],
         wall_clock: Callable[[], float],
         on_change: Callable[[Job], None],
+        follows: Callable[[int], bool],
+        may_load: Callable[[], bool],
     ) -> None:
+        self.follows = follows
+        self.may_load = may_load
         self.store = store
         self.max_record_bytes = max_record_bytes
         self.max_append_bytes = max_append_bytes
@@ -82,23 +96,71 @@
         self.clock = clock
         self.wall_clock = wall_clock
         self.table = JobTable(on_change)
+        self._following: dict[int, asyncio.Task[None]] = {}
+        self._wanted_at: dict[int, float] = {}
         self.tails = [
             self._make_tail(part) for part in range(min(MAX_JOB_PARTS, parts))
         ]
 
     def is_loaded(self) -> bool:
-        """Whether all partitions were read once."""
-        return all(tail.is_loaded for tail in self.tails)
+        """Whether all partitions that are followed were read once."""
+        return self.may_load() and all(
+            tail.is_loaded for tail in self.tails if self.follows(tail.part)
+        )
+
+    def find_part(self, account: AccountId) -> int:
+        """Finds the partition that holds an account's jobs."""
+        return compute_score("jobs", account) % len(self.tails)
+
+    def is_followed(self, part: int) -> bool:
+        """Whether a partition is followed here and was read once."""
+        return part in self._following and self.tails[part].is_loaded
 
-    def find_tail(self, job: JobId) -> Tail:
-        """Finds the partition that holds a job."""
-        return self.tails[compute_score("job", job) % len(self.tails)]
+    def follow(self, part: int) -> None:
+        """Asks for a partition to be followed for a while."""
+        self._wanted_at[part] = self.clock()
+
+    def get_age(self) -> float:
+        """Seconds since the oldest of the followed partitions was read."""
+        ages = [self.tails[part].get_age() for part in self._following]
+        return max(ages, default=0.0)
 
     async def run(self) -> None:
-        """Follows all partitions until cancelled."""
+        """Follows the partitions that it is to follow until cancelled."""
         async with asyncio.TaskGroup() as group:
-            for tail in self.tails:
-                group.create_task(tail.run())
+            try:
+                while True:
+                    if self.may_load():
+                        self._adjust(group)
+                    await asyncio.sleep(FOLLOW_PERIOD)
+            finally:
+                for task in self._following.values():
+                    task.cancel()
+                self._following.clear()
+
+    def _adjust(self, group: asyncio.TaskGroup) -> None:
+        now = self.clock()
+        owned = {
+            job.part
+            for job in self.table.jobs.values()
+            if job.claim is not None
+            and job.claim.owner == self.name
+            and not job.is_finished()
+        }
+        for tail in self.tails:
+            if self.follows(tail.part) or tail.part in owned:
+                self._wanted_at[tail.part] = now
+            is_wanted = now - self._wanted_at.get(tail.part, -LINGER) < LINGER
+            task = self._following.get(tail.part)
+            if is_wanted and task is None:
+                log_event("jobs.follow", part=tail.part)
+                task = group.create_task(tail.run())
+                self._following[tail.part] = task
+            elif not is_wanted and task is not None:
+                log_event("jobs.unfollow", part=tail.part)
+                self._following.pop(tail.part).cancel()
+                self.table.forget_part(tail.part)
+                self.tails[tail.part] = self._make_tail(tail.part)
 
     async def accept(self, specification: JobSpecification, owner: ProcessName) -> None:
         """Stores a job with its first owner.
@@ -120,17 +182,18 @@
             )
         producer = Producer(specification.id, FIRST_EPOCH, 0)
         try:
-            await self._append(specification.id, records, producer, ACCEPT_TIME)
+            part = self.find_part(specification.account)
+            await self._append(part, records, producer, ACCEPT_TIME)
         except AppendRefusedError as error:
             log_event("job.known", job=specification.id, reason=error.message)
 
-    async def end(self, job: JobId) -> None:
+    async def end(self, job: Job) -> None:
         """Stores that a job's client ended it.
 
         Raises:
             BuckthornstileError: It is not known to be stored.
         """
-        await self._append(job, [encode_end(job)], None, ACCEPT_TIME)
+        await self._append(job.part, [encode_end(job.id)], None, ACCEPT_TIME)
 
     async def claim(self, job: Job) -> None:
         """Tries to become the owner of a job; the log tells who did.
@@ -164,12 +227,11 @@
 
     async def _append(
         self,
-        job: JobId,
+        part: int,
         records: Sequence[JobRecord],
         producer: Producer | None,
         time: float,
     ) -> None:
-        tail = self.find_tail(job)
         encoded = [encode_keyed_record(one.key, one.value) for one in records]
         give_up_at = self.clock() + time
         may_have_taken_effect = False
@@ -177,7 +239,7 @@
             try:
                 await self.store.append(
                     JOB_TOPIC,
-                    tail.part,
+                    part,
                     encoded,
                     producer=producer,
                     timeout=APPEND_TIMEOUT,
--- /dev/null
+++ b/buckthornstile/gateway/_lease_keeper.py
@@ -0,0 +1,123 @@
+"""Keeps this process's lease of the duties that one process performs for all."""
+
+import asyncio
+from collections.abc import Callable
+
+from buckthornstile.base import ProcessName
+from buckthornstile.duties import (
+    DUTY_TOPIC,
+    DutyFold,
+    DutyRecord,
+    Lease,
+    decode_duty_record,
+    encode_duty_record,
+)
+from buckthornstile.logs import log_event
+from buckthornstile.platform import AppendRefusedError, StoreClient
+from buckthornstile.tails import Tail
+
+DUTY_WAIT = 0.5
+"""Seconds that a read of the duties' topic is held."""
+APPEND_TIMEOUT = 0.6
+MIN_TIME_LEFT = 0.15
+"""Seconds of the lease that must be left to begin a call."""
+
+
+class LeaseKeeper:
+    """Follows the duties' topic, and claims and renews the lease.
+
+    Args:
+        name: This process's name.
+        store: The store.
+        clock: The time in seconds; it must go on while suspended.
+        turn_bound: Seconds in which the holder may not change there and back.
+    """
+
+    def __init__(
+        self,
+        name: ProcessName,
+        *,
+        store: StoreClient,
+        clock: Callable[[], float],
+        turn_bound: float,
+    ) -> None:
+        self.name = name
+        self.store = store
+        self.clock = clock
+        self.fold = DutyFold(clock)
+        self.lease = Lease(name, self.fold, clock=clock, turn_bound=turn_bound)
+        self.is_leaving = False
+        self.tail = Tail(
+            store,
+            DUTY_TOPIC,
+            0,
+            clock=clock,
+            wait=DUTY_WAIT,
+            on_raw=self._apply,
+            on_read=self._note_read,
+        )
+        self._returned_at = -1e9
+        self._writing = asyncio.Lock()
+
+    def may_act(self) -> bool:
+        """Whether enough of the lease is left to begin a call."""
+        return self.lease.holds() and self.lease.get_time_left() > MIN_TIME_LEFT
+
+    def bound(self, seconds: float) -> float:
+        """Bounds a time-out by what is left of the lease."""
+        return min(seconds, self.lease.get_time_left())
+
+    async def keep(self) -> None:
+        """Appends the claim or renewal that is due, if any.
+
+        Raises:
+            PlatformUnavailableError: The store did not take it, or gave no answer.
+        """
+        if not self.tail.is_loaded or self.tail.get_age() > DUTY_WAIT + APPEND_TIMEOUT:
+            return
+        record = None if self.is_leaving else self.lease.choose_record()
+        if record is None:
+            return
+        sent_at = self.clock()
+        offset = await self.append(record)
+        if offset is None:
+            return
+        self.lease.note_written(record, offset, sent_at)
+        if record.term is None:
+            log_event("lease.taken", term=self.fold.term)
+
+    async def append(self, record: DutyRecord) -> int | None:
+        """Appends a record at the end that is known; None if that has moved on.
+
+        Raises:
+            PlatformUnavailableError: The store did not take it, or gave no answer.
+        """
+        async with self._writing:
+            try:
+                return await self.store.append(
+                    DUTY_TOPIC,
+                    0,
+                    [encode_duty_record(record)],
+                    at=self.fold.end,
+                    timeout=APPEND_TIMEOUT,
+                )
+            except AppendRefusedError:
+                # The tail shows what was written meanwhile.
+                return None
+
+    def _apply(self, offset: int, data: bytes) -> None:
+        try:
+            record = decode_duty_record(data)
+        except ValueError as error:
+            log_event("duty.record_unreadable", offset=offset, reason=error)
+            return
+        before = self.fold.holder
+        self.fold.apply(offset, record)
+        if self.fold.holder != before:
+            log_event("lease.holder", holder=self.fold.holder, term=self.fold.term)
+
+    def _note_read(self) -> None:
+        self.fold.end = max(self.fold.end, self.tail.end)
+        if self.tail.returned_at > self._returned_at:
+            self._returned_at = self.tail.returned_at
+            self.fold.note_return()
--- /dev/null
+++ b/buckthornstile/gateway/_load_orders.py
@@ -0,0 +1,164 @@
+"""Orders loads of weights while this process holds the lease."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+
+from buckthornstile.base import BuckthornstileError, ServiceName, UpstreamId
+from buckthornstile.calls import LoadMode, OrderAnswer, VersionOrder
+from buckthornstile.duties import LoadPlanner, PlannedLoad
+from buckthornstile.exchanges import ConnectionPool
+from buckthornstile.gateway._lease_keeper import LeaseKeeper
+from buckthornstile.gateway._presence import Versions
+from buckthornstile.logs import log_event
+from buckthornstile.platform import (
+    decode_order_answer,
+    decode_report,
+    encode_order,
+    encode_report_call,
+)
+from buckthornstile.topology import TopologyView, Upstream
+
+ORDER_TIMEOUT = 0.5
+"""Seconds for an order; shorter than what a successor waits beyond the lease."""
+REPORT_TIMEOUT = 0.6
+"""Seconds for an engine to tell its state."""
+
+
+class LoadOrders:
+    """Sends the orders that the planner wants, and asks for what became of them.
+
+    Args:
+        node: The VM's name, under which engines know the holder.
+        keeper: Tells whether this process holds the lease.
+        view: The topology in force.
+        planner: Plans loads.
+        pool: Connections to upstreams.
+        on_news: Called when an engine was found to hold a new version.
+        note_failure: Called when an engine did not answer.
+    """
+
+    def __init__(
+        self,
+        node: str,
+        keeper: LeaseKeeper,
+        *,
+        view: TopologyView,
+        planner: LoadPlanner,
+        pool: ConnectionPool,
+        on_news: Callable[[], None],
+        note_failure: Callable[[Upstream], None],
+    ) -> None:
+        self.node = node
+        self.keeper = keeper
+        self.view = view
+        self.planner = planner
+        self.pool = pool
+        self.on_news = on_news
+        self.note_failure = note_failure
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def order(self) -> None:
+        """Sends what is due now; answers are taken in later."""
+        if not self.keeper.may_act():
+            return
+        loads = self.planner.plan()
+        for name in self.planner.list_doubted():
+            self.planner.note_doubt(name)
+            self._spawn(self._ask(name))
+        for load in loads:
+            expected_orders = self.planner.get_order_count(load.upstream)
+            if expected_orders is not None:
+                self.planner.note_doubt(load.upstream)
+                self._spawn(self._send(load, expected_orders))
+
+    def list_fresh_versions(self) -> Versions:
+        """Lists what engines hold that their entries do not show yet."""
+        if not self.keeper.lease.holds():
+            return {}
+        return {
+            name: (self.view.upstreams[name].born, versions)
+            for name, versions in self.planner.list_fresh_versions().items()
+        }
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _send(self, load: PlannedLoad, expected_orders: int) -> None:
+        upstream = self.view.upstreams.get(load.upstream)
+        if upstream is None:
+            return
+        order = VersionOrder(
+            upstream=load.upstream,
+            model=load.model,
+            version=load.version,
+            mode=self._choose_mode(upstream.service),
+            holder=self.node,
+            term=self.keeper.fold.term,
+            expected_orders=expected_orders,
+        )
+        outcome = "unanswered"
+        try:
+            async with asyncio.timeout(self.keeper.bound(ORDER_TIMEOUT)):
+                answer = await self.pool.exchange(
+                    upstream.address, encode_order(order), fresh=True
+                )
+            result = decode_order_answer(answer)
+            outcome = result.value
+            if result is OrderAnswer.ACCEPTED:
+                self.planner.note_accepted(load)
+            elif result is OrderAnswer.ALREADY_HOLDS:
+                self.planner.note_holds(load)
+        except (TimeoutError, BuckthornstileError) as error:
+            outcome = f"unanswered: {error}"
+        log_event(
+            "order.load",
+            upstream=load.upstream,
+            model=load.model,
+            version=load.version,
+            term=order.term,
+            expected_orders=order.expected_orders,
+            mode=order.mode.value,
+            outcome=outcome,
+        )
+
+    def _choose_mode(self, service: ServiceName) -> LoadMode:
+        configuration = self.view.configuration
+        routes = configuration.routes if configuration else ()
+        for route in routes:
+            names = [name for name, _ in route.services]
+            if service in names and route.needs_single_version:
+                return LoadMode.FINISH_FIRST
+        return LoadMode.CONTINUE
+
+    async def _ask(self, name: UpstreamId) -> None:
+        upstream = self.view.upstreams.get(name)
+        if upstream is None:
+            return
+        try:
+            async with asyncio.timeout(REPORT_TIMEOUT):
+                answer = await self.pool.exchange(
+                    upstream.address, encode_report_call(upstream.id)
+                )
+            report = decode_report(answer)
+        except (TimeoutError, BuckthornstileError, ValueError) as error:
+            self.note_failure(upstream)
+            log_event("engine.report_failed", upstream=name, reason=repr(error))
+            return
+        self.planner.note_report(
+            upstream.id, report.versions, report.order_count, report.is_busy
+        )
+        if any(
+            version > self.view.get_version(upstream, model)
+            for model, version in report.versions.items()
+        ):
+            self.view.note_versions(upstream.id, upstream.born, report.versions)
+            self.on_news()
+        log_event(
+            "engine.report",
+            upstream=name,
+            orders=report.order_count,
+            busy=report.is_busy,
+            versions=",".join(map(str, report.versions.values())),
+        )
--- a/buckthornstile/gateway/_presence.py
+++ b/buckthornstile/gateway/_presence.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
-from buckthornstile.base import ProcessName, UpstreamId
+from buckthornstile.base import FailureDomain, ProcessName, UpstreamId
 from buckthornstile.topology import ModelName
 
 PRESENCE_TOPIC = "presence"
@@ -16,6 +16,9 @@
 COUNT_LIFETIME = 10.0
 """Seconds for which a silent process still counts where a bound is shared."""
 
+FORGET_TIME = 30.0
+"""Seconds of silence after which a process is not counted any more at all."""
+
 Counts = Mapping[int, Mapping[str, int]]
 Versions = Mapping[UpstreamId, tuple[int, Mapping[ModelName, int]]]
 
@@ -26,6 +29,8 @@
 
     ``counts`` are its requests by window and account; ``versions`` what engines were
     seen to hold before their entries say so, with the millisecond of their start.
+    ``address`` is where it answers other entries, as ``IP:port``; ``made_at`` when it
+    read its counts, in seconds since the epoch by its own clock.
     """
 
     name: ProcessName
@@ -33,11 +38,23 @@
     is_leaving: bool = False
     counts: Counts = field(default_factory=dict)
     versions: Versions = field(default_factory=dict)
+    zone: FailureDomain = FailureDomain("")
+    address: str = ""
+    made_at: float = 0.0
 
     def encode(self) -> bytes:
         """Encodes the record."""
         counts = {str(window): dict(one) for window, one in self.counts.items()}
-        data = [self.name, self.node, self.is_leaving, counts, dict(self.versions)]
+        data = [
+            self.name,
+            self.node,
+            self.is_leaving,
+            counts,
+            dict(self.versions),
+            self.zone,
+            self.address,
+            self.made_at,
+        ]
         return json.dumps(data).encode()
 
 
@@ -48,7 +65,7 @@
         ValueError: It does not have the agreed form.
     """
     try:
-        name, node, leaving, counts, versions = json.loads(data)
+        name, node, leaving, counts, versions, zone, address, made = json.loads(data)
         return PresenceRecord(
             ProcessName(name),
             node,
@@ -58,6 +75,9 @@
                 UpstreamId(one): (int(born), dict(models))
                 for one, (born, models) in versions.items()
             },
+            FailureDomain(zone),
+            str(address),
+            float(made),
         )
     except (TypeError, AttributeError) as error:
         raise ValueError(f"presence record: {error}") from error
@@ -98,10 +118,12 @@
 
     def apply(self, record: PresenceRecord) -> None:
         """Folds a record."""
+        now = self.clock()
         for name, peer in list(self._peers.items()):
-            if peer.record.node == record.node and name != record.name:
+            is_earlier = peer.record.node == record.node and name != record.name
+            if is_earlier or now - peer.seen_at > FORGET_TIME:
                 del self._peers[name]
-        self._peers[record.name] = _Peer(record, self.clock())
+        self._peers[record.name] = _Peer(record, now)
 
     def list_live(self) -> list[ProcessName]:
         """Lists the processes that live and do not leave."""
@@ -112,6 +134,20 @@
             if peer.seen_at >= oldest and not peer.record.is_leaving
         ]
 
+    def count_nodes(self) -> int:
+        """Counts the VMs of which a record was read, also of those that are gone."""
+        return len(self._peers)
+
+    def get_zone(self, name: ProcessName) -> FailureDomain:
+        """The failure domain of a process, or an empty name."""
+        peer = self._peers.get(name)
+        return peer.record.zone if peer is not None else FailureDomain("")
+
+    def get_address(self, name: ProcessName) -> str:
+        """Where a process answers other entries, or an empty address."""
+        peer = self._peers.get(name)
+        return peer.record.address if peer is not None else ""
+
     def is_known(self, name: ProcessName) -> bool:
         """Whether a record of a process was read, however old it is now."""
         return name in self._peers
--- a/buckthornstile/jobs/_table.py
+++ b/buckthornstile/jobs/_table.py
@@ -185,6 +185,12 @@
                 found = events if len(events) > len(found) else found
         return found
 
+    def forget_part(self, part: int) -> None:
+        """Forgets the jobs of a partition that is not followed any more."""
+        for job in [job for job in self.jobs.values() if job.part == part]:
+            del self.jobs[job.id]
+            self._forget_items(job)
+
     def list_expired(self, now: float, lifetime: float) -> list[Job]:
         """Lists the jobs that nobody may ask for any more."""
         return [
--- a/buckthornstile/platform/_node_settings.py
+++ b/buckthornstile/platform/_node_settings.py
@@ -39,12 +39,15 @@
 def decode_node_settings(data: dict[str, Any]) -> EntrySettings:
     """Translates the file's content; unknown fields are left out.
 
-    Metrics are served on the first of the ports between processes.
+    Metrics are served on the first of the ports between processes, and requests that
+    other entries pass on on the second.
     """
     bounds = data.get("bounds") or {}
     listen = data.get("listen") or {}
     store = data["platform"]
     cloud = data.get("cloud") or {}
+    host = data.get("ip", "127.0.0.1")
+    # The first and the last of a range.
     ports = data.get("internalPorts") or [0]
     return load_settings(
         EntrySettings,
@@ -53,7 +56,8 @@
             "failure_domain": data["zone"],
             "client_address": listen.get("front", ""),
             "ready_address": listen.get("ready", ""),
-            "metrics_address": f"{data.get('ip', '127.0.0.1')}:{ports[0]}",
+            "metrics_address": f"{host}:{ports[0]}",
+            "peer_address": f"{host}:{ports[0] + 1}" if len(ports) > 1 else "",
             "store_address": store["address"],
             "store_parts": int(store.get("parts", 1)),
             "max_record_bytes": int(store.get("recordBytes", 256 << 10)),
--- a/buckthornstile/platform/_requests.py
+++ b/buckthornstile/platform/_requests.py
@@ -5,6 +5,7 @@
 from tornado.httputil import HTTPHeaders
 
 from buckthornstile.calls import ClientRequest, Headers, Reply, StreamReply
+from buckthornstile.exchanges import Answer, OutgoingRequest
 from buckthornstile.platform._names import (
     CONNECTION_HEADERS,
     DEADLINE,
@@ -24,7 +25,7 @@
 """Seconds that a read of results may ask to be held."""
 
 
-class Door(Enum):
+class Subject(Enum):
     """What a request asks for."""
 
     READY = "ready"
@@ -33,15 +34,15 @@
     ROUTE = "route"
 
 
-def find_door(path: str) -> tuple[Door, str]:
+def find_subject(path: str) -> tuple[Subject, str]:
     """Tells what a path asks for, and the id that it names."""
     if path == READY_PATH:
-        return Door.READY, ""
+        return Subject.READY, ""
     if path.startswith(JOB_PATH):
-        return Door.JOB, path[len(JOB_PATH) :]
+        return Subject.JOB, path[len(JOB_PATH) :]
     if path.startswith(ITEM_PATH):
-        return Door.ITEM, path[len(ITEM_PATH) :]
-    return Door.ROUTE, ""
+        return Subject.ITEM, path[len(ITEM_PATH) :]
+    return Subject.ROUTE, ""
 
 
 def decode_request(
@@ -73,6 +74,29 @@
     )
 
 
+def encode_forward(request: ClientRequest) -> OutgoingRequest:
+    """Encodes a client's request for another entry, which checks it anew."""
+    headers = [("Host", request.host), (REQUEST_ID, request.id)]
+    if request.key is not None:
+        headers.append((KEY, request.key))
+    if request.wait:
+        headers.append((WAIT, str(int(request.wait * 1000))))
+    return OutgoingRequest(
+        request.method, request.target, headers, request.body or None
+    )
+
+
+def decode_forwarded(answer: Answer) -> Reply:
+    """Decodes what another entry answered a client's request."""
+    kept = ("content-type", RETRY_AFTER.lower())
+    headers = tuple(
+        (name, value)
+        for name, value in answer.headers.get_all()
+        if name.lower() in kept
+    )
+    return Reply(answer.status, bytes(answer.body), headers)
+
+
 def encode_reply(request: ClientRequest, reply: Reply | StreamReply) -> Headers:
     """Gives the headers of an answer, without those of the connection."""
     headers = list(reply.headers)
--- a/buckthornstile/platform/_store.py
+++ b/buckthornstile/platform/_store.py
@@ -5,7 +5,7 @@
 import json
 import struct
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 from urllib.parse import urlencode
 
@@ -34,6 +34,15 @@
     value: bytes | None
 
 
+@dataclass(slots=True)
+class NewestPages:
+    """Pages of the newest records; ``end`` is that of the first page."""
+
+    records: list[StoredRecord] = field(default_factory=list)
+    end: int = -1
+    is_whole: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class LogSlice:
     """Records read from an offset on, and the partition's end."""
@@ -175,25 +184,39 @@
         Pages are no snapshot: reading on from the returned end repeats what
         changed between them.
         """
-        records: list[StoredRecord] = []
-        end: int | None = None
-        after: str | None = None
-        while True:
-            query: dict[str, object] = {"topic": topic, "part": part}
-            if after is not None:
-                query["after"] = after
-            path = "/-/log-newest?" + urlencode(query)
-            answer = await self._call("GET", path, None, timeout)
-            _check_status(answer)
-            data = _decode_json(answer.body)
-            for item in data.get("items") or ():
-                value = base64.b64decode(item["value"])
-                records.append(StoredRecord(item["offset"], item["key"], value))
-            if end is None:
-                end = int(data["end"])
-            if not data.get("hasMore") or not records:
-                return records, end
-            after = records[-1].key
+        loading = NewestPages()
+        while not loading.is_whole:
+            await self.read_newest_page(topic, part, loading, timeout=timeout)
+        return loading.records, loading.end
+
+    async def read_newest_page(
+        self,
+        topic: str,
+        part: int,
+        pages: "NewestPages",
+        *,
+        timeout: float = CALL_TIMEOUT,
+    ) -> None:
+        """Reads the page after those that were read.
+
+        A page that fails may be asked for again; those before it stay.
+
+        Raises:
+            PlatformUnavailableError: It was refused or got no answer.
+        """
+        query: dict[str, object] = {"topic": topic, "part": part}
+        if pages.records:
+            query["after"] = pages.records[-1].key
+        path = "/-/log-newest?" + urlencode(query)
+        answer = await self._call("GET", path, None, timeout)
+        _check_status(answer)
+        data = _decode_json(answer.body)
+        if pages.end < 0:
+            pages.end = int(data["end"])
+        for item in data.get("items") or ():
+            value = base64.b64decode(item["value"])
+            pages.records.append(StoredRecord(item["offset"], item["key"], value))
+        pages.is_whole = not data.get("hasMore") or not pages.records
 
     def close(self) -> None:
         """Closes idle connections."""
--- a/buckthornstile/platform/_upstreams.py
+++ b/buckthornstile/platform/_upstreams.py
@@ -102,7 +102,6 @@
         headers=kept,
         is_refusal=NOT_RUN in headers or is_other,
         is_encoded="Content-Encoding" in headers,
-        is_leaving=headers.get("Connection", "").lower() == "close",
         signature=headers.get(SIGNATURE, ""),
         load=_decode_load(headers.get(LOAD)),
         version=read_integer(headers.get(VERSIONS)),
--- a/buckthornstile/settings/_entry.py
+++ b/buckthornstile/settings/_entry.py
@@ -36,6 +36,13 @@
     metrics_address: str = Field(
         default="", description=f"Where metrics are served. {NO_PORT}"
     )
+    peer_address: str = Field(
+        default="",
+        description=(
+            "Where other entries pass requests about jobs on to; needed where more "
+            "than 12 entries run."
+        ),
+    )
     api_address: str = Field(
         default="",
         description=(
@@ -125,6 +132,7 @@
         "client_address",
         "ready_address",
         "metrics_address",
+        "peer_address",
         "api_address",
         "duty_address",
     )
--- a/buckthornstile/tails/_tail.py
+++ b/buckthornstile/tails/_tail.py
@@ -8,6 +8,7 @@
 from buckthornstile.logs import log_event
 from buckthornstile.platform import (
     HistoryDroppedError,
+    NewestPages,
     StoreClient,
     StoredRecord,
     decode_keyed_record,
@@ -20,6 +21,9 @@
 READ_TIMEOUT = 0.7
 """Seconds beyond the wait asked for; ten times a slow store's usual answer."""
 
+PAGE_TIMEOUT = 3.0
+"""Seconds for a page of the newest records, up to 1.4 MB on a slow link."""
+
 OnRecord = Callable[[StoredRecord], None]
 OnNewest = Callable[[list[StoredRecord]], None]
 
@@ -72,6 +76,7 @@
         self.lost_at: float | None = clock()
         self.returned_at = -1e9
         self._next: int | None = None
+        self._pages: NewestPages | None = None
         self._read_waiters: list[tuple[float, asyncio.Future[None]]] = []
         self._hurry = asyncio.Event()
 
@@ -130,9 +135,7 @@
             if self.on_newest is None:
                 self._next = 0
             else:
-                records, end = await self.store.read_newest(self.topic, self.part)
-                self.on_newest(records)
-                self._next, self.end = end, end
+                await self._load()
                 return
         wait = 0.0 if self._read_waiters else self.wait
         data = await self.store.read(
@@ -143,6 +146,18 @@
         self._next = max(self._next, data.next_offset)
         self.end = data.end
 
+    async def _load(self) -> None:
+        """Reads the newest record of each key; pages that were read are kept."""
+        assert self.on_newest is not None
+        pages = self._pages = self._pages or NewestPages()
+        while not pages.is_whole:
+            await self.store.read_newest_page(
+                self.topic, self.part, pages, timeout=PAGE_TIMEOUT
+            )
+        self._pages = None
+        self.on_newest(pages.records)
+        self._next = self.end = pages.end
+
     def _apply(self, offset: int, record: bytes) -> None:
         if self.on_raw is not None:
             self.on_raw(offset, record)
--- /dev/null
+++ b/buckthornstile/tails/tests/test_tail.py
@@ -0,0 +1,80 @@
+"""Following a partition: pages that fail, history that goes, freshness."""
+
+import asyncio
+import time
+
+import pytest
+
+from buckthornstile.base import PlatformUnavailableError
+from buckthornstile.platform import HistoryDroppedError, LogSlice, StoredRecord
+from buckthornstile.tails import Tail
+
+PAGES = 4
+
+
+class FakeStore:
+    """Serves pages of one record each, and fails as it is told."""
+
+    def __init__(self, fails_at=()):
+        self.fails_at = list(fails_at)
+        self.asked = []
+        self.drops = 0
+        self.reads = 0
+
+    async def read_newest_page(self, topic, part, pages, *, timeout):
+        number = len(pages.records)
+        self.asked.append(number)
+        if number in self.fails_at:
+            self.fails_at.remove(number)
+            raise PlatformUnavailableError("the store gave no answer in time")
+        pages.end = pages.end if pages.end >= 0 else 10
+        pages.records.append(StoredRecord(number, f"k{number}", b"v"))
+        pages.is_whole = number == PAGES - 1
+
+    async def read(self, topic, part, start, *, wait, timeout):
+        self.reads += 1
+        await asyncio.sleep(0.005)
+        if self.drops:
+            self.drops -= 1
+            raise HistoryDroppedError(20)
+        return LogSlice((), start, start)
+
+
+async def follow(store, until):
+    loaded = []
+    tail = Tail(
+        store,
+        "keyed.t",
+        0,
+        clock=time.monotonic,
+        wait=0.0,
+        on_record=lambda record: None,
+        on_newest=loaded.append,
+    )
+    task = asyncio.create_task(tail.run())
+    async with asyncio.timeout(5):
+        while not until(tail, loaded):
+            await asyncio.sleep(0.005)
+    task.cancel()
+    return tail, loaded
+
+
+def test_a_page_that_fails_costs_no_other_page():
+    store = FakeStore(fails_at=[1, 3, 3])
+    _, loaded = asyncio.run(follow(store, lambda tail, loaded: tail.is_loaded))
+    assert store.asked == [0, 1, 1, 2, 3, 3, 3]
+    assert [record.key for record in loaded[0]] == ["k0", "k1", "k2", "k3"]
+
+
+def test_dropped_history_is_loaded_anew_as_a_whole():
+    store = FakeStore()
+    store.drops = 1
+    _, loaded = asyncio.run(follow(store, lambda tail, loaded: len(loaded) == 2))
+    assert store.asked == [0, 1, 2, 3] * 2
+
+
+@pytest.mark.parametrize("fails", [0, 1])
+def test_freshness_counts_from_when_a_good_read_was_sent(fails):
+    store = FakeStore(fails_at=[0] * fails)
+    tail, _ = asyncio.run(follow(store, lambda tail, loaded: store.reads > 2))
+    assert tail.get_age() < 1.0
--- a/tests/test_kills.py
+++ b/tests/test_kills.py
@@ -128,7 +128,9 @@
 def test_kill_in_the_middle_of_a_lot(role):
     async def scenario(world):
         trainer = world.make_trainer()
-        lot = asyncio.create_task(world.run_lot(trainer, make_lot("lot-1", samples=8)))
+        # Twice as many as there are places, so that half come a second later.
+        wanted = make_lot("lot-1", samples=16)
+        lot = asyncio.create_task(world.run_lot(trainer, wanted))
         await world.until(
             lambda: len(world.evidence.samples) >= 3, "the first samples came"
         )
@@ -138,7 +140,7 @@
             world.keep_journal("engine-0")
             world.kill_worker("engine-0")
         seen = await lot
-        assert len(seen) == 16
+        assert len(seen) == 32
         assert trainer.attach_count == (2 if role == "entry" else 1)
         world.check()
 
