--- a/buckthornstile/api/_lots.py
+++ b/buckthornstile/api/_lots.py
@@ -6,53 +6,48 @@
 """
 
 import asyncio
-import hashlib
-import json
 from collections.abc import AsyncGenerator, Iterable
 from dataclasses import dataclass, field
 
 from buckthornstile.api._generation import (
     GENERATION_PATH,
     find_model,
-    make_generation,
+)
+from buckthornstile.api._lot_jobs import (
+    has_given_up,
+    make_job,
+    make_job_id,
+    make_lot_name,
+    make_sample,
+    make_trainer_name,
 )
 from buckthornstile.api._requests import ApiRequest, make_json_reply
 from buckthornstile.api._tools import ApiTools, Grant, authenticate, authorize
 from buckthornstile.base import (
-    AccountId,
     BuckthornstileError,
     ErrorCode,
-    KeyId,
     LotId,
     Verdict,
     WeightVersion,
 )
 from buckthornstile.calls import Reply, StreamReply
 from buckthornstile.jobs import (
-    ItemId,
-    ItemResult,
     Job,
     JobId,
-    JobItem,
-    JobSpecification,
-    ResultState,
 )
 from buckthornstile.logs import log_event
-from buckthornstile.platform import encode_generation
 from buckthornstile.samples import (
     EndLine,
     ErrorLine,
     HeartbeatLine,
     LotSpecification,
-    Sample,
     Slot,
-    TokenRange,
     encode_line,
     encode_sample,
     make_lot_id,
     parse_specification,
 )
-from buckthornstile.topology import OWN_HOST, ModelName
+from buckthornstile.topology import ModelName
 
 LOT_PATH = "/v1/lots"
 TRAINER_PATH = "/v1/trainers/"
@@ -65,7 +60,6 @@
 MAX_ATTACH = 1 << 40
 MAX_TRIES = 8
 """Jobs of a lot for one oldest version: each further one makes what was given up."""
-NAME_BYTES = 12
 LINE_TYPE = ("Content-Type", "application/x-ndjson")
 
 
@@ -269,7 +263,7 @@
         for number in range(MAX_TRIES):
             job_id = make_job_id(attach.lot, minimum, number)
             job = self.tools.jobs.table.find(job_id)
-            if job is None or not _has_given_up(job, attach.missing):
+            if job is None or not has_given_up(job, attach.missing):
                 return job_id, job
         raise BuckthornstileError(
             ErrorCode.UPSTREAM_FAILED,
@@ -344,7 +338,7 @@
             while position < len(job.results):
                 result = job.results[position]
                 position += 1
-                sample = make_sample(attach, result, minimum)
+                sample = make_sample(result, minimum)
                 if sample is not None and sample.slot in attach.missing:
                     attach.missing.discard(sample.slot)
                     silent_since = self.tools.clock()
@@ -398,123 +392,6 @@
     await asyncio.wait({changed}, timeout=seconds)
 
 
-def make_job(
-    specification: LotSpecification,
-    job_id: JobId,
-    *,
-    lot: LotId,
-    account: AccountId,
-    key: KeyId,
-    route: str,
-    model: ModelName,
-    minimum: int,
-    submitted_at: float,
-) -> JobSpecification:
-    """Makes the job of a lot: an item for each slot, a group for each prompt.
-
-    Args:
-        specification: The lot.
-        job_id: The job's id.
-        lot: The lot's id, unique over all client accounts.
-        account: The client account.
-        key: The key that came with it.
-        route: The name of the rule that serves it.
-        model: The model that its trainer trains.
-        minimum: The oldest version that a sample may have.
-        submitted_at: Seconds since the epoch.
-    """
-    name = make_lot_name(lot)
-    items = []
-    for number, group in enumerate(specification.groups):
-        generation = make_generation(
-            model, group.prompt, group.max_tokens, group.expected_tokens
-        )
-        headers = encode_generation(generation)
-        for index in range(group.samples):
-            fields = {
-                "prompt": group.prompt,
-                "max_tokens": group.max_tokens,
-                "seed": index,
-            }
-            items.append(
-                JobItem(
-                    id=ItemId(f"{name}-{number}-{index}"),
-                    path=specification.path,
-                    headers=headers,
-                    body=json.dumps(fields).encode(),
-                    tokens=generation.prompt_tokens + group.max_tokens,
-                    group=str(number),
-                    expected_tokens=group.expected_tokens,
-                )
-            )
-    return JobSpecification(
-        id=job_id,
-        account=account,
-        host=OWN_HOST,
-        path_prefix=route,
-        submitted_at=submitted_at,
-        items=tuple(items),
-        model=model,
-        minimum_version=minimum,
-        time_limit=specification.timeout,
-        key=key,
-    )
-
-
-def make_sample(attach: _Attach, result: ItemResult, minimum: int) -> Sample | None:
-    """Makes a sample of a result; None if it was given up or is too old."""
-    if result.state is not ResultState.COMPLETE:
-        return None
-    if min(result.versions, default=-1) < minimum:
-        return None
-    labels = []
-    first = 0
-    for run in result.version_runs:
-        last = first + run.events - 1
-        labels.append(TokenRange(first, last, WeightVersion(run.version)))
-        first = last + 1
-    text = result.text.split("\n")
-    body = json.dumps({"text": result.text, "events": text}).encode()
-    return Sample(_read_slot(result.item), body, tuple(labels))
-
-
-def make_lot_name(lot: LotId) -> str:
-    """Makes a short name of a lot, for ids.
-
-    Example:
-        >>> len(make_lot_name("mill-7/geometry/step-9"))
-        24
-    """
-    return hashlib.blake2b(lot.encode(), digest_size=NAME_BYTES).hexdigest()
-
-
-def make_job_id(lot: LotId, minimum: int, number: int = 0) -> JobId:
-    """Makes the id of a lot's job for one oldest version, from number 0 on."""
-    return JobId(f"{make_lot_name(lot)}.{minimum}.{number}")
-
-
-def make_trainer_name(account: AccountId, trainer: str) -> str:
-    """Makes the name under which a trainer's version is kept."""
-    return f"{account}/{trainer}"
-
-
-def _has_given_up(job: Job, missing: set[Slot]) -> bool:
-    """Whether a job is over and some of the missing samples are not in it."""
-    if not job.is_finished():
-        return False
-    complete = {
-        _read_slot(result.item)
-        for result in job.results
-        if result.state is ResultState.COMPLETE
-    }
-    return not missing <= complete
-
-
-def _read_slot(item: ItemId) -> Slot:
-    _, group, index = item.rsplit("-", 2)
-    return Slot(int(group), int(index))
-
-
 def _make_draining() -> BuckthornstileError:
     return BuckthornstileError(
         ErrorCode.DRAINING, "this entry stops", retry_after=POLL_PERIOD
--- /dev/null
+++ b/buckthornstile/entry/_announcer.py
@@ -0,0 +1,122 @@
+"""Tells other entries that this one lives, and takes in what they tell."""
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+
+from buckthornstile.base import BuckthornstileError, ProcessName
+from buckthornstile.duties import UsageCounter, UsageTotals
+from buckthornstile.gateway import (
+    PRESENCE_PERIOD,
+    PRESENCE_TOPIC,
+    PresenceRecord,
+    PresenceTable,
+    Versions,
+    decode_presence,
+)
+from buckthornstile.logs import log_event
+from buckthornstile.platform import StoreClient
+from buckthornstile.settings import EntrySettings
+from buckthornstile.tails import Tail
+from buckthornstile.topology import TopologyView
+
+SETTLE_TIME = 0.3
+"""Seconds after the first reading of presence records until they are acted on."""
+PRESENCE_WAIT = 0.4
+PRESENCE_PAUSE = 0.1
+
+
+class Announcer:
+    """Appends this process's presence records and reads those of all.
+
+    Args:
+        name: This process's name.
+        settings: Its settings.
+        store: The store.
+        view: Takes what others saw engines hold.
+        clock: The time in seconds; it must go on while suspended.
+        wall_clock: Seconds since the epoch.
+        list_fresh_versions: Gives what engines hold before their entries say so.
+    """
+
+    def __init__(
+        self,
+        name: ProcessName,
+        settings: EntrySettings,
+        store: StoreClient,
+        view: TopologyView,
+        *,
+        clock: Callable[[], float],
+        wall_clock: Callable[[], float],
+        list_fresh_versions: Callable[[], Versions],
+    ) -> None:
+        self.name = name
+        self.settings = settings
+        self.store = store
+        self.view = view
+        self.clock = clock
+        self.wall_clock = wall_clock
+        self.list_fresh_versions = list_fresh_versions
+        self.is_leaving = False
+        self.presence = PresenceTable(clock)
+        self.counter = UsageCounter(settings.usage_window)
+        self.totals = UsageTotals(settings.usage_window)
+        self.tail = Tail(
+            store,
+            PRESENCE_TOPIC,
+            0,
+            clock=clock,
+            wait=PRESENCE_WAIT,
+            pause=PRESENCE_PAUSE,
+            on_raw=self._apply,
+            on_read=self.presence.note_read,
+        )
+        self._news = asyncio.Event()
+
+    def is_settled(self) -> bool:
+        """Whether the entries that live are known well enough to act on."""
+        if self.tail.returned_at < 0:
+            return False
+        return self.clock() - self.tail.returned_at > SETTLE_TIME
+
+    def hurry(self) -> None:
+        """Asks for a record at once, since there is news."""
+        self._news.set()
+
+    async def run(self) -> None:
+        """Appends records until cancelled."""
+        while True:
+            await self.announce()
+            self._news.clear()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(PRESENCE_PERIOD):
+                    await self._news.wait()
+
+    async def announce(self) -> None:
+        """Appends one record; a failure is logged and the next one makes it good."""
+        now = self.wall_clock()
+        record = PresenceRecord(
+            self.name,
+            self.settings.process,
+            is_leaving=self.is_leaving,
+            counts=self.counter.get_counts(now),
+            versions=self.list_fresh_versions(),
+            zone=self.settings.failure_domain,
+            address=self.settings.peer_address,
+            made_at=now,
+        )
+        try:
+            await self.store.append(PRESENCE_TOPIC, 0, [record.encode()])
+        except BuckthornstileError as error:
+            log_event("presence.append_failed", reason=error.message)
+
+    def _apply(self, offset: int, data: bytes) -> None:
+        try:
+            record = decode_presence(data)
+        except ValueError as error:
+            log_event("presence.unreadable", offset=offset, reason=error)
+            return
+        self.presence.apply(record)
+        self.totals.apply(record.name, record.counts, record.made_at)
+        for upstream_id, (born, versions) in record.versions.items():
+            self.view.note_versions(upstream_id, born, versions)
--- a/buckthornstile/entry/_daemon.py
+++ b/buckthornstile/entry/_daemon.py
@@ -1,7 +1,6 @@
 """The entry's process: puts the parts together and runs them."""
 
 import asyncio
-import contextlib
 import random
 import signal
 import ssl
@@ -30,12 +29,11 @@
 )
 from buckthornstile.calls import ClientRequest, Reply, StreamReply
 from buckthornstile.clock import read_boottime, read_wall_time
-from buckthornstile.duties import LoadPlanner, UsageCounter, UsageTotals
+from buckthornstile.duties import LoadPlanner
+from buckthornstile.entry._announcer import Announcer
 from buckthornstile.entry._door import Door, DoorProtocol
 from buckthornstile.exchanges import ConnectionPool
 from buckthornstile.gateway import (
-    PRESENCE_PERIOD,
-    PRESENCE_TOPIC,
     CallSender,
     ClientHandlers,
     Control,
@@ -49,13 +47,10 @@
     LeaseKeeper,
     LoadOrders,
     PeerClient,
-    PresenceRecord,
-    PresenceTable,
     StreamRelay,
     StreamRunner,
     UsageReports,
     Watch,
-    decode_presence,
     make_error_reply,
 )
 from buckthornstile.jobs import Job
@@ -68,17 +63,12 @@
     read_node_settings,
 )
 from buckthornstile.settings import EntrySettings
-from buckthornstile.tails import Tail
 from buckthornstile.topology import TopologyView
 
 IDLE_TIMEOUT = 60.0
 """Seconds; longer than any configured idle timeout of clients."""
 READY_AGE = 2.5
 """Seconds without the store after which no new clients are asked for."""
-SETTLE_TIME = 0.3
-"""Seconds after the first reading of presence records until they are acted on."""
-PRESENCE_WAIT = 0.4
-PRESENCE_PAUSE = 0.1
 DRAIN_TIME = 3.0
 """Seconds for the balancer to send its clients elsewhere: two missed questions."""
 STOP_MARGIN = 1.5
@@ -111,14 +101,20 @@
         self.events = events
         self.doors: list[Door] = []
         self.api_port = 0
-        self._news = asyncio.Event()
         self.view = TopologyView()
         self.store = StoreClient(settings.store_address)
         self.pool = ConnectionPool()
-        self.presence = PresenceTable(self.clock)
         self.metrics = GatewayMetrics()
-        self.counter = UsageCounter(settings.usage_window)
-        self.totals = UsageTotals(settings.usage_window)
+        self.announcer = Announcer(
+            self.name,
+            settings,
+            self.store,
+            self.view,
+            clock=self.clock,
+            wall_clock=self.read_wall,
+            list_fresh_versions=lambda: self.control.orders.list_fresh_versions(),
+        )
+        self.presence = self.announcer.presence
         self.configuration: ConfigurationWatch | None = None
         self.admission: Admission | None = None
         self.revocation = Revocation(self._find_key_error)
@@ -128,16 +124,6 @@
         self._make_platform_doors()
         if settings.api_address:
             self._make_api_door()
-        self.presence_tail = Tail(
-            self.store,
-            PRESENCE_TOPIC,
-            0,
-            clock=self.clock,
-            wait=PRESENCE_WAIT,
-            pause=PRESENCE_PAUSE,
-            on_raw=self._apply_presence,
-            on_read=self.presence.note_read,
-        )
 
     def read_wall(self) -> float:
         """Seconds since the epoch, by the wall clock at the start.
@@ -206,8 +192,8 @@
             self.jobs.run,
             self.control.run,
             self.owner.run,
-            self.presence_tail.run,
-            self._announce,
+            self.announcer.tail.run,
+            self.announcer.run,
         ]
         if self.configuration is not None:
             work += [self.configuration.run, self._check_keys]
@@ -290,7 +276,7 @@
             view=self.view,
             planner=planner,
             pool=self.pool,
-            on_news=self._news.set,
+            on_news=self.announcer.hurry,
             note_failure=self.fleet.note_failure,
         )
         reports = None
@@ -298,7 +284,7 @@
             reports = UsageReports(
                 settings.process,
                 keeper,
-                totals=self.totals,
+                totals=self.announcer.totals,
                 client=DutyClient(settings.duty_address),
                 wall_clock=self.read_wall,
                 due=settings.usage_due,
@@ -430,17 +416,14 @@
 
     def _may_load_jobs(self) -> bool:
         """Whether what calls need is read, so that jobs may be loaded beside it."""
-        if self.presence_tail.returned_at < 0:
-            return False
-        is_settled = self.clock() - self.presence_tail.returned_at > SETTLE_TIME
         is_read = self.watch.operator.is_loaded and self.watch.upstreams.is_loaded
-        return is_settled and is_read
+        return is_read and self.announcer.is_settled()
 
     def _note_job(self, job: Job) -> None:
         self.owner.note_change(job)
 
     def _count_run(self, account: AccountId, age: float) -> None:
-        self.counter.count(account, self.read_wall() - age)
+        self.announcer.counter.count(account, self.read_wall() - age)
 
     def _count_places(self, service: ServiceName) -> int:
         """Counts this entry's share of the places of a service's upstreams."""
@@ -459,17 +442,6 @@
     def _list_possible(self) -> list[str]:
         return list(self.presence.list_possible())
 
-    def _apply_presence(self, offset: int, data: bytes) -> None:
-        try:
-            record = decode_presence(data)
-        except ValueError as error:
-            log_event("presence.unreadable", offset=offset, reason=error)
-            return
-        self.presence.apply(record)
-        self.totals.apply(record.name, record.counts, record.made_at)
-        for upstream_id, (born, versions) in record.versions.items():
-            self.view.note_versions(upstream_id, born, versions)
-
     def _reload(self) -> None:
         try:
             settings = read_node_settings()
@@ -493,41 +465,17 @@
             await asyncio.sleep(KEY_CHECK_PERIOD)
             self.revocation.check_all()
 
-    async def _announce(self) -> None:
-        while True:
-            await self._announce_once()
-            self._news.clear()
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(PRESENCE_PERIOD):
-                    await self._news.wait()
-
-    async def _announce_once(self) -> None:
-        now = self.read_wall()
-        record = PresenceRecord(
-            self.name,
-            self.settings.process,
-            is_leaving=self.is_stopping,
-            counts=self.counter.get_counts(now),
-            versions=self.control.orders.list_fresh_versions(),
-            zone=self.settings.failure_domain,
-            address=self.settings.peer_address,
-            made_at=now,
-        )
-        try:
-            await self.store.append(PRESENCE_TOPIC, 0, [record.encode()])
-        except BuckthornstileError as error:
-            log_event("presence.append_failed", reason=error.message)
-
     async def _drain(self) -> None:
         log_event("process.drain", open=sum(door.open for door in self.doors))
         self.is_stopping = True
+        self.announcer.is_leaving = True
         self.owner.is_leaving = True
         self.control.keeper.is_leaving = True
         for door in self.doors:
             if door.handler != self._answer_ready:
                 door.start_closing()
         await self.owner.save_all()
-        await self._announce_once()
+        await self.announcer.announce()
         began = self.clock()
         end = began + self.settings.stop_grace - STOP_MARGIN
         while self.clock() < end:
@@ -536,7 +484,7 @@
             if not open_work and self.clock() > began + DRAIN_TIME:
                 break
             await asyncio.sleep(STOP_POLL)
-        await self._announce_once()
+        await self.announcer.announce()
         for door in self.doors:
             await door.close()
 
--- a/buckthornstile/gateway/__init__.py
+++ b/buckthornstile/gateway/__init__.py
@@ -21,6 +21,7 @@
     PRESENCE_TOPIC,
     PresenceRecord,
     PresenceTable,
+    Versions,
     decode_presence,
 )
 from buckthornstile.gateway._relay import StreamRelay
@@ -49,6 +50,7 @@
     "StreamRelay",
     "StreamRunner",
     "UsageReports",
+    "Versions",
     "Watch",
     "decode_presence",
     "make_error_reply",
