Add the soak: seeded faults on real processes, with the process tests' checker

A seed starts the store, workers and two to four entries, each behind a relay of its own, and strikes nine times in 14 s, in series and overlapping: kills, pauses and planned stops of entries and workers, faults, pauses and dropped history of the store, links cut, reset, delayed or silenced one way, drains, a withdrawn key, named versions. Clients of all kinds go on, one on a connection that it keeps. Checked are all promises of tests/checker.py, drains and the withdrawal after their bounds, service within 15 s of the last fault, and that no process ended or lost a task.

--- a/Makefile
+++ b/Makefile
@@ -6,8 +6,9 @@
 STAMP := $(VENV)/.requirements-installed
 JOBS ?= 6
 PYTEST_FLAGS ?=
+SEEDS ?= 10
 
-.PHONY: environment demo test lint format bench-path fuzz
+.PHONY: environment demo test lint format bench-path fuzz soak
 
 $(STAMP): $(ROOT)requirements.txt $(ROOT)requirements-dev.txt
 	$(PYTHON) -m venv $(VENV)
@@ -37,3 +38,6 @@
 
 fuzz: $(STAMP)
 	$(RUN)/python -m benchmarks.fuzz
+
+soak: $(STAMP)
+	$(RUN)/python -m soak --seeds $(SEEDS) --jobs 2
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -110,14 +110,25 @@
         )
         return worker
 
-    def add_entry(self, name: str, domain: str, **settings: Any) -> BenchProcess:
-        """Starts an entry."""
-        address = self.take_address()
+    def add_entry(
+        self,
+        name: str,
+        domain: str,
+        *,
+        instead_of: BenchProcess | None = None,
+        **settings: Any,
+    ) -> BenchProcess:
+        """Starts an entry, at an address of its own or at that of an earlier one."""
+        port = 0
+        if instead_of is None:
+            address = self.take_address()
+        else:
+            address, port = instead_of.address, instead_of.port
         store = self.store.url.removeprefix("http://")
         own = {
             "process": name,
             "failure_domain": domain,
-            "api_address": f"{address}:0",
+            "api_address": f"{address}:{port}",
             "store_address": store,
             "duty_address": store,
         }
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -1,4 +1,4 @@
-"""A TCP relay that cuts connections, for tests of the network between processes."""
+"""A TCP relay that cuts, delays and silences connections, for tests of the network."""
 
 import asyncio
 import contextlib
@@ -7,6 +7,7 @@
 
 READ_BYTES = 65536
 CALL_TIMEOUT = 5.0  # seconds
+SILENCE_POLL = 0.05  # seconds
 TO_TARGET = "to_target"
 FROM_TARGET = "from_target"
 
@@ -25,6 +26,8 @@
         port: The TCP port that it listens on.
         cuts: How often a connection was cut at a byte.
         passed: Bytes passed on, by direction.
+        delay_seconds: Seconds for which each part is held back.
+        silenced: Directions in which nothing arrives; what is sent waits.
 
     Example:
         >>> with Relay("127.0.0.1", 9) as relay:
@@ -42,6 +45,8 @@
         self.cuts = 0
         self.passed = {TO_TARGET: 0, FROM_TARGET: 0}
         self._is_open = True
+        self.delay_seconds = 0.0
+        self.silenced: frozenset[str] = frozenset()
         self._left: dict[str, int] = {}
         self._writers: set[asyncio.StreamWriter] = set()
 
@@ -69,7 +74,14 @@
         self._run(self._cut())
 
     def restore(self) -> None:
-        """Lets connections through again."""
+        """Lets connections through again, at once and both ways."""
+        self._is_open = True
+        self.delay_seconds = 0.0
+        self.silenced = frozenset()
+
+    def reset(self) -> None:
+        """Resets the connections that are open; new ones go through."""
+        self._run(self._cut())
         self._is_open = True
 
     def cut_after(self, count: int, direction: str) -> None:
@@ -116,6 +128,9 @@
                 self._pass_on(reader, far_writer, TO_TARGET),
                 self._pass_on(far_reader, writer, FROM_TARGET),
             )
+        except asyncio.CancelledError:
+            # The relay itself ends.
+            return
         finally:
             self._writers -= ends
             for end in ends:
@@ -136,6 +151,10 @@
                     del self._left[direction]
                 elif left is not None:
                     self._left[direction] = left - len(data)
+                if self.delay_seconds:
+                    await asyncio.sleep(self.delay_seconds)
+                while direction in self.silenced:
+                    await asyncio.sleep(SILENCE_POLL)
                 writer.write(data)
                 await writer.drain()
                 self.passed[direction] += len(data)
--- a/tests/test_kills.py
+++ b/tests/test_kills.py
@@ -170,9 +170,7 @@
             world.entries[name].kill()
         for name in names:
             # The trainer knows the entries by their addresses.
-            port = world.entries[name].port
-            address = world.entries[name].address
-            world.add_entry(name, "bench-a", api_address=f"{address}:{port}")
+            world.add_entry(name, "bench-a", instead_of=world.entries[name])
         assert len(await lot) == 4
         # No sample was made again: the store had them.
         assert max(count_runs(world.check()).values()) == 4
