--- a/Makefile
+++ b/Makefile
@@ -7,8 +7,9 @@
 JOBS ?= 6
 PYTEST_FLAGS ?=
 SEEDS ?= 10
+DAY ?=
 
-.PHONY: environment demo test lint format bench-path fuzz soak
+.PHONY: environment demo test lint format bench-path experiment fuzz soak
 
 $(STAMP): $(ROOT)requirements.txt $(ROOT)requirements-dev.txt
 	$(PYTHON) -m venv $(VENV)
@@ -41,3 +42,6 @@
 
 soak: $(STAMP)
 	$(RUN)/python -m soak --seeds $(SEEDS) --jobs 2
+
+experiment: $(STAMP)
+	$(RUN)/python -m benchmarks.experiment $(DAY)
--- a/soak/_play.py
+++ b/soak/_play.py
@@ -44,13 +44,19 @@
     steps: list[str] = field(default_factory=list)
 
 
-class _Soak:
+class SoakRun:
     """One deployment under one plan.
 
     Every entry reaches the store by a relay of its own.
+
+    Args:
+        world: The store and workers, started.
+        plan: What happens.
+        seconds: Seconds of load before all is healed.
     """
 
-    def __init__(self, world: World, plan: Plan) -> None:
+    def __init__(self, world: World, plan: Plan, *, seconds: float = DURATION) -> None:
+        self.seconds = seconds
         self.world = world
         self.plan = plan
         self.relays: dict[str, Relay] = {}
@@ -99,7 +105,7 @@
             for step in self.plan.steps:
                 await asyncio.sleep(max(0.0, started + step.at - time.monotonic()))
                 group.create_task(self._run_step(step))
-            left = started + DURATION - time.monotonic()
+            left = started + self.seconds - time.monotonic()
             await asyncio.sleep(max(0.0, left))
         await asyncio.to_thread(self._heal)
 
@@ -439,7 +445,7 @@
         store_flags={"retention": STORE_RETENTION},
     )
     with world:
-        soak = _Soak(world, plan)
+        soak = SoakRun(world, plan)
         with soak.stack:
             soak.start()
             outcome.problems = asyncio.run(_run(soak))
@@ -451,7 +457,7 @@
     return outcome
 
 
-async def _run(soak: _Soak) -> list[str]:
+async def _run(soak: SoakRun) -> list[str]:
     asyncio.get_running_loop().set_default_executor(ThreadPoolExecutor(24))
     stopping = asyncio.Event()
     load = asyncio.create_task(soak.run_load(stopping))
--- a/standins/store/_application.py
+++ b/standins/store/_application.py
@@ -37,7 +37,9 @@
         self.journal = journal
 
     async def prepare(self) -> None:
-        """Applies the faults that come before the effect."""
+        """Counts the call and applies the faults that come before the effect."""
+        name = f"calls_{self.target or 'other'}"
+        self.journal.figures[name] = self.journal.figures.get(name, 0) + 1
         if fault := self.faults.take("slow", self.target):
             await asyncio.sleep(fault.seconds)
         if self.faults.take("busy", self.target):
