--- a/buckthornstile/entry/tests/world.py
+++ b/buckthornstile/entry/tests/world.py
@@ -1,6 +1,7 @@
 """A small deployment in one event loop: store, workers, gateways, clients."""
 
 import asyncio
+import errno
 import functools
 import json
 import os
@@ -192,7 +193,20 @@
         return worker
 
     async def add_gateway(self, name: str, *, ready: bool = True) -> Entry:
-        """Starts a gateway and waits until it is ready."""
+        """Starts a gateway and waits until it is ready.
+
+        Another program may take a port after it was found free; the gateway is then
+        started anew on other ports.
+        """
+        while True:
+            try:
+                return await self._start_gateway(name, ready=ready)
+            except OSError as error:
+                if error.errno != errno.EADDRINUSE:
+                    raise
+                await self.gateways.pop(name).kill()
+
+    async def _start_gateway(self, name: str, *, ready: bool) -> Entry:
         settings = decode_node_settings(
             {
                 "node": name,
@@ -212,9 +226,14 @@
         settings = settings.model_copy(update={"peer_address": peer_address})
         events = EventLineHandler(settings.process, descriptor=self.descriptor)
         gateway = self.gateways[name] = Entry(settings, events)
-        self.tasks[name] = asyncio.create_task(gateway.run())
+        task = self.tasks[name] = asyncio.create_task(gateway.run())
+        await asyncio.sleep(0)
+        if task.done():
+            await task
         if ready:
-            await self.wait_for(gateway.is_ready)
+            await self.wait_for(lambda: task.done() or gateway.is_ready())
+            if task.done():
+                await task
             count = len(self.tasks)
             await self.wait_for(
                 lambda: len(gateway.presence.list_live()) >= min(count, 1)
