--- a/buckthornstile/entry/tests/test_calls.py
+++ b/buckthornstile/entry/tests/test_calls.py
@@ -1,4 +1,4 @@
-"""Calls through a whole gateway: forwarding, refusals, bad workers, limits."""
+"""Calls through a whole entry: forwarding, refusals, bad workers, limits."""
 
 import asyncio
 import json
@@ -18,7 +18,7 @@
 @in_world
 async def test_call_is_forwarded_whole(world: World) -> None:
     worker = world.add_worker("w1", DESK)
-    await world.add_gateway("e1")
+    await world.add_entry("e1")
     answer = await world.call("e1", "r1", target="/orders/7?x=1")
     assert answer.status == 200
     assert bytes(answer.body) == b"answer to hello"
@@ -36,7 +36,7 @@
 @in_world
 async def test_client_cannot_name_its_own_account(world: World) -> None:
     worker = world.add_worker("w1", DESK)
-    await world.add_gateway("e1")
+    await world.add_entry("e1")
     headers = (("Tenant", "quay"), ("Deadline-Ms", "1000"))
     assert (await world.call("e1", "r1", headers=headers)).status == 200
     assert worker.list_runs()[0]["headers"]["Tenant"] == "mill"
@@ -45,7 +45,7 @@
 @in_world
 async def test_refusals_say_why(world: World) -> None:
     world.add_worker("w1", DESK)
-    await world.add_gateway("e1")
+    await world.add_entry("e1")
     assert (await world.call("e1", "r1", key="wrong")).status == 401
     assert (await world.call("e1", "r2", key=None)).status == 401
     assert (await world.call("e1", "r3", target="/nowhere/")).status == 404
@@ -57,15 +57,15 @@
 @in_world
 async def test_not_ready_and_never_404_before_a_configuration(world: World) -> None:
     world.log.partitions.clear()
-    gateway = await world.add_gateway("e1", ready=False)
-    await world.wait_for(lambda: gateway.jobs.is_loaded())
-    assert not gateway.is_ready()
+    entry = await world.add_entry("e1", ready=False)
+    await world.wait_for(lambda: entry.jobs.is_loaded())
+    assert not entry.is_ready()
     answer = await world.call("e1", "r1")
     assert answer.status == 503
     assert "Retry-After" in answer.headers
     world.put_configuration()
     world.add_worker("w1", DESK)
-    await world.wait_for(gateway.is_ready)
+    await world.wait_for(entry.is_ready)
 
 
 @pytest.mark.parametrize(
@@ -78,7 +78,7 @@
             worker = world.add_worker(name, DESK)
             worker.faults.add({"kind": kind, "count": 1})
         world.add_worker("w3", DESK)
-        await world.add_gateway("e1")
+        await world.add_entry("e1")
         for number in range(4):
             answer = await world.call("e1", f"r{number}")
             assert answer.status == 200
@@ -93,7 +93,7 @@
         worker = world.add_worker(name, DESK)
         worker.faults.add({"kind": "silent", "seconds": 1.5, "count": 1})
     world.add_worker("w3", DESK)
-    await world.add_gateway("e1")
+    await world.add_entry("e1")
     started = asyncio.get_running_loop().time()
     for number in range(3):
         assert (await world.call("e1", f"r{number}")).status == 200
@@ -107,7 +107,7 @@
         for name in ("w1", "w2"):
             worker = world.add_worker(name, DESK)
             worker.faults.add({"kind": kind})
-        await world.add_gateway("e1")
+        await world.add_entry("e1")
         answer = await world.call("e1", "r1", target="/once/1")
         assert answer.status == 502
         runs = [run for one in world.workers.values() for run in one.list_runs()]
@@ -121,7 +121,7 @@
     for name in ("w1", "w2"):
         world.add_worker(name, DESK).faults.add({"kind": "full", "count": 1})
     world.add_worker("w3", DESK)
-    await world.add_gateway("e1")
+    await world.add_entry("e1")
     assert (await world.call("e1", "r1", target="/once/1")).status == 200
 
 
@@ -129,7 +129,7 @@
 async def test_no_worker_is_a_refusal_with_a_time_to_come_back(world: World) -> None:
     worker = world.add_worker("w1", DESK)
     worker.faults.add({"kind": "full"})
-    await world.add_gateway("e1")
+    await world.add_entry("e1")
     answer = await world.call("e1", "r1")
     assert answer.status == 503
     assert float(answer.headers["Retry-After"]) > 0
@@ -139,18 +139,18 @@
 @in_world
 async def test_client_that_leaves_ends_the_run(world: World) -> None:
     worker = world.add_worker("w1", DESK, work_seconds=5.0)
-    await world.add_gateway("e1")
+    await world.add_entry("e1")
     task = asyncio.create_task(world.call("e1", "r1", target="/once/1"))
     await world.wait_for(lambda: worker.state.running)
     task.cancel()
-    closed = world.gateways["e1"]
+    closed = world.entries["e1"]
     await world.wait_for(lambda: not closed.client_door.open, timeout=0.4)
 
 
 @in_world
 async def test_reused_address_runs_nothing(world: World) -> None:
     worker = world.add_worker("w1", DESK)
-    await world.add_gateway("e1")
+    await world.add_entry("e1")
     assert (await world.call("e1", "r1")).status == 200
     worker.state.id = "another"
     answer = await world.call("e1", "r2")
@@ -161,9 +161,9 @@
 @in_world
 async def test_metrics_tell_latencies_and_ages(world: World) -> None:
     world.add_worker("w1", DESK)
-    gateway = await world.add_gateway("e1")
+    entry = await world.add_entry("e1")
     assert (await world.call("e1", "r1")).status == 200
-    address = gateway.settings.metrics_address
+    address = entry.settings.metrics_address
     request = OutgoingRequest("GET", "/metrics", [("Host", address)])
     answer = await world.pool.exchange(address, request)
     text = bytes(answer.body).decode()
@@ -177,7 +177,7 @@
     world: World,
 ) -> None:
     world.add_worker("w1", DESK)
-    await world.add_gateway("e1")
+    await world.add_entry("e1")
     body = b"x" * ((1 << 20) + 1)
     answer = await world.send("e1", "POST", "/orders/1", request_id="r1", body=body)
     assert answer.status == 413
--- a/buckthornstile/entry/tests/test_configuration.py
+++ b/buckthornstile/entry/tests/test_configuration.py
@@ -1,4 +1,4 @@
-"""Configuration, keys, drains and usage at a whole gateway."""
+"""Configuration, keys, drains and usage at a whole entry."""
 
 import asyncio
 import json
@@ -14,10 +14,10 @@
 @in_world
 async def test_withdrawn_key_stops_and_old_versions_stay_out(world: World) -> None:
     world.add_worker("w1", DESK)
-    gateway = await world.add_gateway("e1")
+    entry = await world.add_entry("e1")
     world.accounts[0]["apiKeys"] = ["another"]
     world.put_configuration()
-    await world.wait_for(lambda: gateway.view.find_account(KEY) is None)
+    await world.wait_for(lambda: entry.view.find_account(KEY) is None)
     assert (await world.call("e1", "r1")).status == 401
     world.accounts[0]["apiKeys"] = [KEY]
     world.put_configuration(version=1)
@@ -28,8 +28,8 @@
 @in_world
 async def test_keys_are_not_trusted_without_the_store(world: World) -> None:
     worker = world.add_worker("w1", DESK)
-    gateway = await world.add_gateway("e1")
-    bound = gateway.settings.key_bound
+    entry = await world.add_entry("e1")
+    bound = entry.settings.key_bound
     await world.stop_store()
     stopped = asyncio.get_running_loop().time()
 
@@ -38,12 +38,12 @@
 
     await world.retry(is_refused)
     assert asyncio.get_running_loop().time() - stopped < bound
-    assert not gateway.is_ready()
+    assert not entry.is_ready()
     runs = len(worker.list_runs())
     assert (await world.call("e1", "r2")).status == 503
     assert len(worker.list_runs()) == runs
     world.start_store()
-    await world.wait_for(gateway.is_ready)
+    await world.wait_for(entry.is_ready)
     assert (await world.call("e1", "r3")).status == 200
 
 
@@ -52,11 +52,11 @@
     first = world.add_worker("w1", DESK)
     second = world.add_worker("w2", DESK)
     third = world.add_worker("w3", DESK, zone="bench-b")
-    gateway = await world.add_gateway("e1")
+    entry = await world.add_entry("e1")
     first.write_entry(state="draining")
     second.remove_entry()
     world.put("keyed.op", "evacuate/bench-b", b"{}")
-    usable = gateway.view.list_usable
+    usable = entry.view.list_usable
     await world.wait_for(lambda: not usable(DESK))
     assert (await world.call("e1", "r1")).status == 503
     world.put("keyed.op", "evacuate/bench-b", b"")
@@ -68,14 +68,14 @@
 @in_world
 async def test_entries_that_lapsed_during_an_outage_are_kept(world: World) -> None:
     worker = world.add_worker("w1", DESK)
-    gateway = await world.add_gateway("e1")
+    entry = await world.add_entry("e1")
     await world.stop_store()
     await asyncio.sleep(1.2)
     worker.remove_entry()
     world.start_store()
-    await world.wait_for(lambda: gateway.watch.upstreams.lost_at is None)
+    await world.wait_for(lambda: entry.watch.upstreams.lost_at is None)
     assert (await world.call("e1", "r1")).status == 200
-    await world.wait_for(lambda: "w1" not in gateway.view.upstreams, timeout=4.0)
+    await world.wait_for(lambda: "w1" not in entry.view.upstreams, timeout=4.0)
     assert (await world.call("e1", "r2")).status == 503
 
 
@@ -86,14 +86,14 @@
     names = [f"w{number}" for number in range(6)]
     for name in names:
         world.add_worker(name, DESK)
-    gateway = await world.add_gateway("e1")
+    entry = await world.add_entry("e1")
     await asyncio.sleep(1.0)
     for name in names:
         # Each removal meets another moment of a read that is held.
         await asyncio.sleep(0.45)
         world.workers[name].remove_entry()
         await world.wait_for(
-            lambda name=name: name not in gateway.view.upstreams, timeout=1.0
+            lambda name=name: name not in entry.view.upstreams, timeout=1.0
         )
 
 
@@ -110,19 +110,19 @@
         "state": "ready",
     }
     world.put("keyed.servers", "x9", json.dumps(entry).encode())
-    gateway = await world.add_gateway("e1")
-    assert list(gateway.view.upstreams) == ["w1"]
+    entry = await world.add_entry("e1")
+    assert list(entry.view.upstreams) == ["w1"]
     assert (await world.call("e1", "r1")).status == 200
 
 
 @in_world
 async def test_usage_is_reported_once_by_one_holder(world: World) -> None:
     world.add_worker("w1", DESK)
-    await world.add_gateway("e1")
-    await world.add_gateway("e2")
+    await world.add_entry("e1")
+    await world.add_entry("e2")
     for number in range(6):
-        gateway = "e1" if number % 2 else "e2"
-        assert (await world.call(gateway, f"r{number}")).status == 200
+        entry = "e1" if number % 2 else "e2"
+        assert (await world.call(entry, f"r{number}")).status == 200
 
     def sum_reports() -> int:
         return sum(
--- a/buckthornstile/entry/tests/test_followers.py
+++ b/buckthornstile/entry/tests/test_followers.py
@@ -30,26 +30,26 @@
     world.add_worker("m1", MODELS)
     world.add_worker("m2", MODELS)
     for name in ENTRIES:
-        await world.add_gateway(name)
+        await world.add_entry(name)
     await world.wait_for(
         lambda: all(
             len(one.presence.list_live()) == len(ENTRIES)
-            for one in world.gateways.values()
+            for one in world.entries.values()
         )
     )
-    await world.wait_for(lambda: all(one.is_ready() for one in world.gateways.values()))
+    await world.wait_for(lambda: all(one.is_ready() for one in world.entries.values()))
 
 
 def split(world: World, part: int) -> tuple[list[str], list[str]]:
     """Gives the entries that follow a partition, and the others."""
-    first = next(iter(world.gateways.values()))
+    first = next(iter(world.entries.values()))
     names = first.followers.list_followers(part)
-    chosen = [name for name, one in world.gateways.items() if one.name in names]
-    return chosen, [name for name in world.gateways if name not in chosen]
+    chosen = [name for name, one in world.entries.items() if one.name in names]
+    return chosen, [name for name in world.entries if name not in chosen]
 
 
 def find_part(world: World, account: str) -> int:
-    return next(iter(world.gateways.values())).jobs.find_part(account)
+    return next(iter(world.entries.values())).jobs.find_part(account)
 
 
 @in_world
@@ -116,7 +116,7 @@
     def is_split() -> bool:
         for part in range(2):
             chosen, _ = split(world, part)
-            for name, one in world.gateways.items():
+            for name, one in world.entries.items():
                 if one.jobs.is_followed(part) is not (name in chosen):
                     return False
         return True
--- a/buckthornstile/entry/tests/test_jobs.py
+++ b/buckthornstile/entry/tests/test_jobs.py
@@ -25,8 +25,8 @@
     world.add_worker("w1", DESK)
     world.add_worker("m1", MODELS)
     world.add_worker("m2", MODELS)
-    await world.add_gateway("e1")
-    await world.add_gateway("e2")
+    await world.add_entry("e1")
+    await world.add_entry("e2")
     assert await world.submit("e1", make_job(5), "j1") == 202
     first = await world.read_all("e1", "j1", 5)
     second = await world.read_all("e2", "j1", 5)
@@ -44,8 +44,8 @@
 async def test_repeated_submission_is_accepted_once(world: World) -> None:
     world.add_worker("w1", DESK)
     model = world.add_worker("m1", MODELS)
-    await world.add_gateway("e1")
-    await world.add_gateway("e2")
+    await world.add_entry("e1")
+    await world.add_entry("e2")
     job = make_job(3)
     statuses = await asyncio.gather(
         world.submit("e1", job, "j1"), world.submit("e2", job, "j1")
@@ -62,12 +62,12 @@
 async def test_acknowledged_job_survives_all_entries(world: World) -> None:
     world.add_worker("w1", DESK)
     world.add_worker("m1", MODELS, event_seconds=0.4)
-    await world.add_gateway("e1")
+    await world.add_entry("e1")
     assert await world.submit("e1", make_job(3), "j1") == 202
     await world.kill("e1")
     world.workers["m1"].state.event_seconds = 0.002
     world.faults.clear()
-    await world.add_gateway("e2")
+    await world.add_entry("e2")
     results = await world.read_all("e2", "j1", 3)
     assert {result["text"] for result in results} == {
         make_text(f"i{number}") for number in range(3)
@@ -78,15 +78,15 @@
 async def test_results_keep_their_place_through_an_owners_death(world: World) -> None:
     world.add_worker("w1", DESK)
     model = world.add_worker("m1", MODELS)
-    await world.add_gateway("e1")
-    await world.add_gateway("e2")
+    await world.add_entry("e1")
+    await world.add_entry("e2")
     model.faults.add({"kind": "stall", "value": 2, "seconds": 30, "count": 1})
     assert await world.submit("e1", make_job(6), "j1") == 202
     before = await world.read_all("e2", "j1", 4)
     await world.kill("e1")
     after = await world.read_all("e2", "j1", 6)
     assert after[: len(before)] == before
-    await world.add_gateway("e3")
+    await world.add_entry("e3")
     assert await world.read_all("e3", "j1", 6) == after
 
 
@@ -94,8 +94,8 @@
 async def test_former_owner_cannot_list_a_result(world: World) -> None:
     world.add_worker("w1", DESK)
     model = world.add_worker("m1", MODELS, event_seconds=0.3)
-    first = await world.add_gateway("e1")
-    second = await world.add_gateway("e2")
+    first = await world.add_entry("e1")
+    second = await world.add_entry("e2")
     assert await world.submit("e1", make_job(3), "j1") == 202
     await world.wait_for(lambda: second.jobs.table.find("j1"))
     job = second.jobs.table.find("j1")
@@ -113,7 +113,7 @@
 async def test_lost_and_late_appends_list_each_result_once(world: World) -> None:
     world.add_worker("w1", DESK)
     world.add_worker("m1", MODELS)
-    await world.add_gateway("e1")
+    await world.add_entry("e1")
     world.faults.add({"kind": "lose_answer", "target": "append", "count": 4})
     world.faults.add({"kind": "late", "target": "append", "seconds": 1.2, "count": 3})
     status = await world.submit("e1", make_job(4), "j1")
@@ -128,7 +128,7 @@
 @in_world
 async def test_refused_job_never_runs(world: World) -> None:
     model = world.add_worker("m1", MODELS)
-    await world.add_gateway("e1")
+    await world.add_entry("e1")
     world.faults.add({"kind": "busy", "target": "append"})
     assert await world.submit("e1", make_job(2), "j1") == 503
     world.faults.clear()
@@ -139,7 +139,7 @@
 
 @in_world
 async def test_job_of_unknown_outcome_is_no_promise(world: World) -> None:
-    await world.add_gateway("e1")
+    await world.add_entry("e1")
     world.faults.add({"kind": "lose_answer", "target": "append"})
     assert await world.submit("e1", make_job(2), "j1") in (502, 504)
 
@@ -148,12 +148,12 @@
 async def test_dropped_history_changes_nothing(world: World) -> None:
     world.add_worker("w1", DESK)
     world.add_worker("m1", MODELS)
-    await world.add_gateway("e1")
+    await world.add_entry("e1")
     assert await world.submit("e1", make_job(4), "j1") == 202
     results = await world.read_all("e1", "j1", 4)
     for partition in world.log.partitions.values():
         partition.drop_history()
-    await world.add_gateway("e2")
+    await world.add_entry("e2")
     assert await world.read_all("e2", "j1", 4) == results
     assert (await world.call("e2", "r1")).status == 200
 
@@ -162,13 +162,13 @@
 async def test_ended_job_runs_nothing_more_and_stays_readable(world: World) -> None:
     world.add_worker("w1", DESK)
     model = world.add_worker("m1", MODELS, slots=1, event_seconds=0.1)
-    await world.add_gateway("e1")
-    await world.add_gateway("e2")
+    await world.add_entry("e1")
+    await world.add_entry("e2")
     assert await world.submit("e1", make_job(6), "j1") == 202
     for _ in range(2):
         answer = await world.send("e2", "DELETE", "/-/lots/j1")
         assert answer.status == 200
-    owner = world.gateways["e1"].owner
+    owner = world.entries["e1"].owner
     await world.wait_for(lambda: not owner.count_running(), timeout=2.0)
     runs = len(model.list_runs())
     await asyncio.sleep(0.4)
@@ -180,8 +180,8 @@
 async def test_open_item_gives_its_body(world: World) -> None:
     world.add_worker("w1", DESK)
     world.add_worker("m1", MODELS, event_seconds=0.3)
-    await world.add_gateway("e1")
-    await world.add_gateway("e2")
+    await world.add_entry("e1")
+    await world.add_entry("e2")
     assert await world.submit("e1", make_job(2), "j1") == 202
     answer = await world.send("e2", "GET", "/-/items/j1?id=i1")
     assert (answer.status, bytes(answer.body)) == (200, b"hello")
@@ -191,7 +191,7 @@
 
 @in_world
 async def test_job_is_hidden_from_other_accounts(world: World) -> None:
-    await world.add_gateway("e1")
+    await world.add_entry("e1")
     assert await world.submit("e1", make_job(2), "j1") == 202
     answer = await world.send("e1", "GET", "/-/lots/j1", key=OTHER_KEY)
     assert answer.status == 404
@@ -215,7 +215,7 @@
     @in_world
     async def test(world: World) -> None:
         world.add_worker("w1", DESK)
-        await world.add_gateway("e1")
+        await world.add_entry("e1")
         assert await world.submit("e1", make_job(1) | change, "j1") == 400
         assert (await world.call("e1", "r1")).status == 200
 
@@ -235,7 +235,7 @@
         world.add_worker("w1", DESK)
         for name in ("m1", "m2"):
             world.add_worker(name, MODELS).faults.add(dict(fault))
-        await world.add_gateway("e1")
+        await world.add_entry("e1")
         assert await world.submit("e1", make_job(3), "j1") == 202
         for result in await world.read_all("e1", "j1", 3):
             assert result["text"] == make_text(result["id"])
@@ -251,7 +251,7 @@
     world.add_worker("w1", DESK)
     model = world.add_worker("m1", MODELS)
     model.faults.add({"kind": "cut_end", "count": 1})
-    await world.add_gateway("e1")
+    await world.add_entry("e1")
     assert await world.submit("e1", make_job(1), "j1") == 202
     (result,) = await world.read_all("e1", "j1", 1)
     assert result["text"] == make_text("i0")
@@ -263,7 +263,7 @@
     world.add_worker("w1", DESK)
     slow = world.add_worker("m1", MODELS, events=30, event_seconds=0.01)
     fast = world.add_worker("m2", MODELS, events=30, event_seconds=0.01)
-    await world.add_gateway("e1")
+    await world.add_entry("e1")
     assert await world.submit("e1", make_job(14), "j0") == 202
     await world.read_all("e1", "j0", 14)
     assert slow.list_runs()
@@ -279,8 +279,8 @@
 async def test_successor_goes_on_from_stored_events(world: World) -> None:
     world.add_worker("w1", DESK)
     model = world.add_worker("m1", MODELS, events=40, event_seconds=0.05)
-    await world.add_gateway("e1")
-    second = await world.add_gateway("e2")
+    await world.add_entry("e1")
+    second = await world.add_entry("e2")
     assert await world.submit("e1", make_job(1), "j1") == 202
     await world.wait_for(lambda: second.jobs.table.find("j1"))
     job = second.jobs.table.find("j1")
@@ -297,8 +297,8 @@
 async def test_planned_stop_hands_jobs_over(world: World) -> None:
     world.add_worker("w1", DESK)
     model = world.add_worker("m1", MODELS, events=60, event_seconds=0.05)
-    first = await world.add_gateway("e1")
-    second = await world.add_gateway("e2")
+    first = await world.add_entry("e1")
+    second = await world.add_entry("e2")
     assert await world.submit("e1", make_job(1), "j1") == 202
     await world.wait_for(model.list_runs)
     await asyncio.sleep(0.3)
@@ -313,8 +313,8 @@
 async def test_process_that_leaves_gives_new_jobs_to_others(world: World) -> None:
     world.add_worker("w1", DESK)
     world.add_worker("m1", MODELS, event_seconds=0.1)
-    first = await world.add_gateway("e1")
-    second = await world.add_gateway("e2")
+    first = await world.add_entry("e1")
+    second = await world.add_entry("e2")
     await world.wait_for(lambda: len(first.presence.list_live()) == 2)
     stopping = asyncio.create_task(first._drain())
     await world.wait_for(lambda: first.owner.is_leaving)
@@ -330,17 +330,17 @@
 async def test_owner_that_is_not_known_yet_is_given_time(world: World) -> None:
     world.add_worker("w1", DESK)
     world.add_worker("m1", MODELS)
-    gateway = await world.add_gateway("e1")
+    entry = await world.add_entry("e1")
     specification = decode_job(
         "j1",
         json.dumps(make_job(2)).encode(),
         account="mill",
-        route=gateway.view.find_route(HOST, "/steps/x"),
-        submitted_at=gateway.read_wall(),
+        route=entry.view.find_route(HOST, "/steps/x"),
+        submitted_at=entry.read_wall(),
     )
-    await gateway.jobs.accept(specification, "e9#1")
+    await entry.jobs.accept(specification, "e9#1")
     await asyncio.sleep(0.4)
-    assert gateway.jobs.table.find("j1").claim.owner == "e9#1"
+    assert entry.jobs.table.find("j1").claim.owner == "e9#1"
     await world.read_all("e1", "j1", 2)
 
 
@@ -348,10 +348,10 @@
 async def test_groups_that_come_again_use_what_was_made(world: World) -> None:
     world.add_worker("w1", DESK)
     model = world.add_worker("m1", MODELS, events=40, event_seconds=0.05)
-    gateway = await world.add_gateway("e1")
+    entry = await world.add_entry("e1")
     assert await world.submit("e1", make_job(1), "j1") == 202
-    await world.wait_for(lambda: gateway.jobs.table.find("j1"))
-    job = gateway.jobs.table.find("j1")
+    await world.wait_for(lambda: entry.jobs.table.find("j1"))
+    job = entry.jobs.table.find("j1")
     await world.wait_for(lambda: job.get_progress("i0"))
     assert (await world.send("e1", "DELETE", "/-/lots/j1")).status == 200
     assert await world.submit("e1", make_job(1, minimum=1), "j2") == 202
@@ -365,7 +365,7 @@
     world.add_worker("w1", DESK)
     model = world.add_worker("m1", MODELS)
     model.faults.add({"kind": "error"})
-    await world.add_gateway("e1")
+    await world.add_entry("e1")
     assert await world.submit("e1", make_job(1), "j1") == 202
     (result,) = await world.read_all("e1", "j1", 1)
     assert result["state"] == "abandoned"
@@ -377,7 +377,7 @@
     world.add_worker("w1", DESK)
     model = world.add_worker("m1", MODELS)
     model.faults.add({"kind": "impossible"})
-    await world.add_gateway("e1")
+    await world.add_entry("e1")
     assert await world.submit("e1", make_job(1), "j1") == 202
     (result,) = await world.read_all("e1", "j1", 1)
     assert result["state"] == "abandoned"
@@ -388,7 +388,7 @@
 async def test_result_of_an_earlier_job_is_used_again(world: World) -> None:
     world.add_worker("w1", DESK)
     model = world.add_worker("m1", MODELS)
-    await world.add_gateway("e1")
+    await world.add_entry("e1")
     assert await world.submit("e1", make_job(2), "j1") == 202
     first = await world.read_all("e1", "j1", 2)
     assert await world.submit("e1", make_job(2, minimum=1), "j2") == 202
@@ -399,8 +399,8 @@
 
 @in_world
 async def test_job_too_large_for_the_store_is_refused(world: World) -> None:
-    gateway = await world.add_gateway("e1")
-    gateway.jobs.max_append_bytes = 17 << 10
+    entry = await world.add_entry("e1")
+    entry.jobs.max_append_bytes = 17 << 10
     job = make_job(40)
     for number, item in enumerate(job["items"]):
         item["body"] = os.urandom(100).hex() + f"{number:04}"
--- a/buckthornstile/entry/tests/test_streams.py
+++ b/buckthornstile/entry/tests/test_streams.py
@@ -47,7 +47,7 @@
     ]
     request = OutgoingRequest("POST", "/notes/1", headers, b"hello")
     return await world.pool.exchange(
-        world.gateways["e1"].settings.client_address,
+        world.entries["e1"].settings.client_address,
         request,
         on_data=chunks.append,
         fresh=True,
@@ -67,7 +67,7 @@
 async def test_events_arrive_one_by_one(world: World) -> None:
     add_route(world, resumable=False)
     world.add_worker("m1", MODELS, events=EVENTS, event_seconds=0.05)
-    await world.add_gateway("e1")
+    await world.add_entry("e1")
     chunks: list[bytes] = []
     reading = asyncio.create_task(read_stream(world, "r1", chunks))
     await world.wait_for(lambda: len(chunks) >= 2)
@@ -84,7 +84,7 @@
     for name in ("m1", "m2"):
         worker = world.add_worker(name, MODELS, events=EVENTS)
         worker.faults.add({"kind": "cut", "value": 5})
-    await world.add_gateway("e1")
+    await world.add_entry("e1")
     chunks: list[bytes] = []
     with pytest.raises(BuckthornstileError, match="early"):
         await read_stream(world, "r1", chunks)
@@ -110,7 +110,7 @@
         for name in ("m1", "m2"):
             worker = world.add_worker(name, MODELS, events=EVENTS)
             worker.faults.add({**fault, "count": 1})
-        await world.add_gateway("e1")
+        await world.add_entry("e1")
         chunks: list[bytes] = []
         await read_stream(world, "r1", chunks)
         assert read_events(chunks) == make_events("r1")
@@ -123,7 +123,7 @@
     add_route(world, resumable=True)
     first = world.add_worker("m1", MODELS, events=EVENTS)
     first.faults.add({"kind": "cut", "value": 5, "count": 1})
-    await world.add_gateway("e1")
+    await world.add_entry("e1")
     chunks: list[bytes] = []
     reading = asyncio.create_task(read_stream(world, "r1", chunks))
     world.add_worker("m2", MODELS, events=EVENTS, versions={MODEL: 4})
@@ -141,7 +141,7 @@
 async def test_client_that_leaves_ends_the_stream(world: World) -> None:
     add_route(world, resumable=True)
     worker = world.add_worker("m1", MODELS, events=400, event_seconds=0.02)
-    await world.add_gateway("e1")
+    await world.add_entry("e1")
     chunks: list[bytes] = []
     reading = asyncio.create_task(read_stream(world, "r1", chunks))
     await world.wait_for(lambda: len(chunks) >= 2)
--- a/buckthornstile/entry/tests/test_weights.py
+++ b/buckthornstile/entry/tests/test_weights.py
@@ -19,7 +19,7 @@
 async def test_named_version_is_loaded_and_labelled(world: World) -> None:
     world.add_worker("w1", DESK)
     models = [world.add_worker(name, MODELS) for name in ("m1", "m2")]
-    await world.add_gateway("e1")
+    await world.add_entry("e1")
     world.name_version(2)
     world.name_version(3)
     await world.wait_for(lambda: all(one.state.versions[MODEL] == 3 for one in models))
@@ -46,7 +46,7 @@
         world.add_worker("w1", DESK)
         model = world.add_worker("m1", MODELS)
         model.faults.add(dict(fault))
-        await world.add_gateway("e1")
+        await world.add_entry("e1")
         world.name_version(2)
         world.name_version(3)
         await world.wait_for(lambda: model.state.versions[MODEL] == 3)
@@ -61,7 +61,7 @@
     world.add_worker("w1", DESK)
     old = world.add_worker("m1", MODELS)
     old.write_entry(models=[{"name": MODEL, "version": 5, "adapters": []}])
-    await world.add_gateway("e1")
+    await world.add_entry("e1")
     assert await world.submit("e1", make_job(1, minimum=5), "j1") == 202
     await world.wait_for(old.list_runs)
     await asyncio.sleep(0.3)
--- a/buckthornstile/entry/tests/test_world.py
+++ b/buckthornstile/entry/tests/test_world.py
@@ -1,4 +1,4 @@
-"""The helper itself: gateways start though another program takes a port."""
+"""The helper itself: entries start though another program takes a port."""
 
 import socket
 
@@ -7,7 +7,7 @@
 
 
 @in_world
-async def test_gateway_starts_though_a_found_port_is_taken(world: World) -> None:
+async def test_entry_starts_though_a_found_port_is_taken(world: World) -> None:
     find_port = helper.find_port
     with socket.socket() as other:
         other.bind(("127.0.0.1", 0))
@@ -15,8 +15,8 @@
         taken = [other.getsockname()[1]]
         helper.find_port = lambda: taken.pop() if taken else find_port()
         try:
-            gateway = await world.add_gateway("e1")
+            entry = await world.add_entry("e1")
         finally:
             helper.find_port = find_port
     assert not taken
-    assert gateway.is_ready()
+    assert entry.is_ready()
--- a/buckthornstile/entry/tests/world.py
+++ b/buckthornstile/entry/tests/world.py
@@ -1,4 +1,4 @@
-"""A small deployment in one event loop: store, workers, gateways, clients."""
+"""A small deployment in one event loop: store, workers, entries, clients."""
 
 import asyncio
 import errno
@@ -115,7 +115,7 @@
         self.store_port = 0
         self.store_server: HTTPServer | None = None
         self.workers: dict[str, Worker] = {}
-        self.gateways: dict[str, Entry] = {}
+        self.entries: dict[str, Entry] = {}
         self.tasks: dict[str, asyncio.Task[None]] = {}
         self.pool = ConnectionPool()
         self.version = 0
@@ -192,21 +192,21 @@
         worker.start()
         return worker
 
-    async def add_gateway(self, name: str, *, ready: bool = True) -> Entry:
-        """Starts a gateway and waits until it is ready.
+    async def add_entry(self, name: str, *, ready: bool = True) -> Entry:
+        """Starts an entry and waits until it is ready.
 
-        Another program may take a port after it was found free; the gateway is then
+        Another program may take a port after it was found free; the entry is then
         started anew on other ports.
         """
         while True:
             try:
-                return await self._start_gateway(name, ready=ready)
+                return await self._start_entry(name, ready=ready)
             except OSError as error:
                 if error.errno != errno.EADDRINUSE:
                     raise
-                await self.gateways.pop(name).kill()
+                await self.entries.pop(name).kill()
 
-    async def _start_gateway(self, name: str, *, ready: bool) -> Entry:
+    async def _start_entry(self, name: str, *, ready: bool) -> Entry:
         settings = decode_node_settings(
             {
                 "node": name,
@@ -225,27 +225,27 @@
         peer_address = f"127.0.0.1:{find_port()}"
         settings = settings.model_copy(update={"peer_address": peer_address})
         events = EventLineHandler(settings.process, descriptor=self.descriptor)
-        gateway = self.gateways[name] = Entry(settings, events)
-        task = self.tasks[name] = asyncio.create_task(gateway.run())
+        entry = self.entries[name] = Entry(settings, events)
+        task = self.tasks[name] = asyncio.create_task(entry.run())
         await asyncio.sleep(0)
         if task.done():
             await task
         if ready:
-            await self.wait_for(lambda: task.done() or gateway.is_ready())
+            await self.wait_for(lambda: task.done() or entry.is_ready())
             if task.done():
                 await task
             count = len(self.tasks)
             await self.wait_for(
-                lambda: len(gateway.presence.list_live()) >= min(count, 1)
+                lambda: len(entry.presence.list_live()) >= min(count, 1)
             )
-        return gateway
+        return entry
 
     async def kill(self, name: str) -> None:
-        """Ends a gateway at once, without a word to anybody."""
-        gateway, task = self.gateways.pop(name), self.tasks.pop(name)
+        """Ends an entry at once, without a word to anybody."""
+        entry, task = self.entries.pop(name), self.tasks.pop(name)
         task.cancel()
         await asyncio.wait({task})
-        await gateway.kill()
+        await entry.kill()
 
     async def wait_for(
         self, condition: Callable[[], object], *, timeout: float = SETTLE
@@ -267,7 +267,7 @@
 
     async def send(
         self,
-        gateway: str,
+        entry: str,
         method: str,
         target: str,
         *,
@@ -283,31 +283,31 @@
         if key is not None:
             sent.append(("Credential", key))
         request = OutgoingRequest(method, target, sent, body)
-        address = self.gateways[gateway].settings.client_address
+        address = self.entries[entry].settings.client_address
         return await self.pool.exchange(address, request, fresh=True)
 
-    async def call(self, gateway: str, request_id: str, **options: Any) -> Answer:
+    async def call(self, entry: str, request_id: str, **options: Any) -> Answer:
         """Sends a plain request."""
         options.setdefault("headers", (("Deadline-Ms", "2000"),))
         target = options.pop("target", "/orders/7")
         return await self.send(
-            gateway, "POST", target, request_id=request_id, body=b"hello", **options
+            entry, "POST", target, request_id=request_id, body=b"hello", **options
         )
 
-    async def submit(self, gateway: str, job: dict[str, Any], job_id: str) -> int:
+    async def submit(self, entry: str, job: dict[str, Any], job_id: str) -> int:
         """Submits a batch job and gives the status."""
         body = json.dumps(job).encode()
         answer = await self.send(
-            gateway, "POST", "/steps/x", request_id=job_id, body=body
+            entry, "POST", "/steps/x", request_id=job_id, body=body
         )
         return answer.status
 
     async def read_results(
-        self, gateway: str, job_id: str, after: int = 0, wait: int = 0
+        self, entry: str, job_id: str, after: int = 0, wait: int = 0
     ) -> tuple[int, dict[str, Any]]:
         """Reads results from a position on."""
         answer = await self.send(
-            gateway,
+            entry,
             "GET",
             f"/-/lots/{job_id}?after={after}",
             headers=(("Wait-Ms", str(wait)),),
@@ -315,12 +315,12 @@
         data = json.loads(bytes(answer.body)) if answer.status == 200 else {}
         return answer.status, data
 
-    async def read_all(self, gateway: str, job_id: str, count: int) -> list[dict]:
+    async def read_all(self, entry: str, job_id: str, count: int) -> list[dict]:
         """Reads until a number of results is listed."""
         results: list[dict] = []
 
         async def read() -> bool:
-            status, data = await self.read_results(gateway, job_id, wait=200)
+            status, data = await self.read_results(entry, job_id, wait=200)
             results[:] = data.get("results", [])
             return status == 200 and len(results) >= count
 
