--- a/Makefile
+++ b/Makefile
@@ -8,8 +8,9 @@
 PYTEST_FLAGS ?=
 SEEDS ?= 10
 DAY ?=
+STEPS ?= 1000000
 
-.PHONY: environment demo test lint format bench-path experiment fuzz soak
+.PHONY: environment demo test lint format bench-path experiment fuzz walks soak
 
 $(STAMP): $(ROOT)requirements.txt $(ROOT)requirements-dev.txt
 	$(PYTHON) -m venv $(VENV)
@@ -40,6 +41,9 @@
 fuzz: $(STAMP)
 	$(RUN)/python -m benchmarks.fuzz
 
+walks: $(STAMP)
+	$(RUN)/python -m benchmarks.walks --steps $(STEPS)
+
 soak: $(STAMP)
 	$(RUN)/python -m soak --seeds $(SEEDS) --jobs 2
 
--- a/benchmarks/fuzz.py
+++ b/benchmarks/fuzz.py
@@ -20,6 +20,8 @@
     "lease": "buckthornstile.duties.tests.test_lease_machine:LeaseMachine",
     "configuration": "buckthornstile.configuration.tests.test_interleavings:Deployment",
     "ownership": "buckthornstile.jobs.tests.test_ownership_machine:OwnershipMachine",
+    "orders": "buckthornstile.duties.tests.test_orders_machine:OrdersMachine",
+    "usage": "buckthornstile.duties.tests.test_usage_machine:UsageMachine",
     "queue": "buckthornstile.queueing.tests.test_properties:QueueMachine",
 }
 
