--- a/buckthornstile/gateway/_job_store.py
+++ b/buckthornstile/gateway/_job_store.py
@@ -286,4 +286,5 @@
             pause=JOB_PAUSE,
             on_record=apply,
             on_newest=apply_newest,
+            in_order=True,
         )
--- a/buckthornstile/tails/_tail.py
+++ b/buckthornstile/tails/_tail.py
@@ -45,6 +45,9 @@
         on_newest: Called with the newest record of each key, at the start and after
             history was dropped; None for a topic without keys.
         on_raw: Called with offset and bytes, for a topic without keys.
+        on_read: Called after each read that reached the end.
+        in_order: Whether records must come in the order of their offsets: pages
+            then give only what lies before the end that the first one told.
     """
 
     def __init__(
@@ -60,6 +63,7 @@
         on_newest: OnNewest | None = None,
         on_raw: Callable[[int, bytes], None] | None = None,
         on_read: Callable[[], None] | None = None,
+        in_order: bool = False,
     ) -> None:
         self.store = store
         self.topic = topic
@@ -71,6 +75,7 @@
         self.on_newest = on_newest
         self.on_raw = on_raw
         self.on_read = on_read
+        self.in_order = in_order
         self.fresh_at = -1e9
         self.end = 0
         self.lost_at: float | None = clock()
@@ -131,13 +136,15 @@
             return
 
     async def _read_once(self) -> None:
+        wait = 0.0 if self._read_waiters else self.wait
         if self._next is None:
             if self.on_newest is None:
                 self._next = 0
             else:
                 await self._load()
-                return
-        wait = 0.0 if self._read_waiters else self.wait
+                if not self.in_order:
+                    return
+                wait = 0.0
         data = await self.store.read(
             self.topic, self.part, self._next, wait=wait, timeout=READ_TIMEOUT
         )
@@ -155,7 +162,11 @@
                 self.topic, self.part, pages, timeout=PAGE_TIMEOUT
             )
         self._pages = None
-        self.on_newest(pages.records)
+        records = pages.records
+        if self.in_order:
+            # Later pages show later records, but not all that lie between.
+            records = [record for record in records if record.offset < pages.end]
+        self.on_newest(records)
         self._next = self.end = pages.end
 
     def _apply(self, offset: int, record: bytes) -> None:
--- a/buckthornstile/tails/tests/test_tail.py
+++ b/buckthornstile/tails/tests/test_tail.py
@@ -78,3 +78,58 @@
     store = FakeStore(fails_at=[0] * fails)
     tail, _ = asyncio.run(follow(store, lambda tail, loaded: store.reads > 2))
     assert tail.get_age() < 1.0
+
+
+class GrowingStore:
+    """A partition that grows between two pages; the pages are no snapshot."""
+
+    def __init__(self):
+        self.log = [StoredRecord(0, "m", b"v"), StoredRecord(1, "y", b"v")]
+
+    async def read_newest_page(self, topic, part, pages, *, timeout):
+        if not pages.records:
+            pages.end = len(self.log)
+            pages.records.append(self.log[0])
+            # The first lies in the page that was read, the second in the next one.
+            self.log += [StoredRecord(2, "a", b"v"), StoredRecord(3, "z", b"v")]
+            return
+        pages.records += [one for one in self.log if one.key > "m"]
+        pages.is_whole = True
+
+    async def read(self, topic, part, start, *, wait, timeout):
+        await asyncio.sleep(0.005)
+        records = tuple(
+            (one.offset, bytes([len(one.key)]) + one.key.encode() + one.value)
+            for one in self.log[start:]
+        )
+        return LogSlice(records, len(self.log), len(self.log))
+
+
+async def read_growing_store():
+    seen = []
+
+    def note(records):
+        for record in sorted(records, key=lambda one: one.offset):
+            seen.append(record.offset)
+
+    tail = Tail(
+        GrowingStore(),
+        "keyed.t",
+        0,
+        clock=time.monotonic,
+        wait=0.0,
+        on_record=lambda record: seen.append(record.offset),
+        on_newest=note,
+        in_order=True,
+    )
+    task = asyncio.create_task(tail.run())
+    async with asyncio.timeout(5):
+        while len(set(seen)) < 4:
+            await asyncio.sleep(0.005)
+    task.cancel()
+    return seen
+
+
+def test_records_come_in_order_though_pages_are_no_snapshot():
+    """Two owners' results would else be listed at other positions elsewhere."""
+    assert asyncio.run(read_growing_store()) == [0, 1, 2, 3]
