--- a/buckthornstile/tails/_tail.py
+++ b/buckthornstile/tails/_tail.py
@@ -141,7 +141,7 @@
             if self.on_newest is None:
                 self._next = 0
             else:
-                await self._load()
+                self._next = await self._load()
                 if not self.in_order:
                     return
                 wait = 0.0
@@ -153,8 +153,12 @@
         self._next = max(self._next, data.next_offset)
         self.end = data.end
 
-    async def _load(self) -> None:
-        """Reads the newest record of each key; pages that were read are kept."""
+    async def _load(self) -> int:
+        """Reads the newest record of each key; pages that were read are kept.
+
+        Returns:
+            The offset to read on from.
+        """
         assert self.on_newest is not None
         pages = self._pages = self._pages or NewestPages()
         while not pages.is_whole:
@@ -167,7 +171,8 @@
             # Later pages show later records, but not all that lie between.
             records = [record for record in records if record.offset < pages.end]
         self.on_newest(records)
-        self._next = self.end = pages.end
+        self.end = pages.end
+        return pages.end
 
     def _apply(self, offset: int, record: bytes) -> None:
         if self.on_raw is not None:
