--- a/benchmarks/walks.py
+++ b/benchmarks/walks.py
@@ -13,7 +13,7 @@
 import sys
 import traceback
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from functools import partial
 from typing import Any
 
@@ -74,7 +74,7 @@
 class _Drawer:
     """Draws in the middle of a rule, as ``st.data()`` does."""
 
-    source: random.Random
+    source: random.Random = field(repr=False)
 
     def draw(self, strategy: Any, label: Any = None) -> Any:
         """Draws one value of a simple strategy."""
