Keep one copy of a run under load, of the least-value checks and of the key bound

The experiment played a soak run with a copy of the soak's own loop; both now call SoakRun.run. Three checks of settings that differed in names and units read one table. The share of the bound on withdrawn keys stood in gateway and in api. No behaviour, message or test is changed.

--- a/benchmarks/experiment.py
+++ b/benchmarks/experiment.py
@@ -109,18 +109,6 @@
     figure.savefig(path)
 
 
-async def _play(run: SoakRun) -> list[str]:
-    stopping = asyncio.Event()
-    load = asyncio.create_task(run.run_load(stopping))
-    try:
-        await run.run_steps()
-        recovery = await run.check_recovery()
-    finally:
-        stopping.set()
-        await load
-    return recovery + await asyncio.to_thread(run.check)
-
-
 def play_day(day: Day) -> dict[str, Any]:
     """Plays a day and gives its measures."""
     plan = day.plan
@@ -136,7 +124,7 @@
         run = SoakRun(world, plan, seconds=day.seconds)
         with run.stack:
             run.start()
-            problems = asyncio.run(_play(run))
+            problems = asyncio.run(run.run())
             figures = world.store.call("GET", "/control/journal")
     evidence = world.evidence
     loads = len(evidence.list_entries("order"))
--- a/buckthornstile/api/_configuration.py
+++ b/buckthornstile/api/_configuration.py
@@ -12,6 +12,7 @@
     OpenRoute,
     Rule,
 )
+from buckthornstile.gateway import KEY_BOUND_SHARE
 from buckthornstile.logs import log_event
 from buckthornstile.platform import StoreClient, StoredRecord, encode_keyed_record
 from buckthornstile.tails import Tail
@@ -26,8 +27,6 @@
 VERSION_TOPIC = "keyed.versions"
 TOPIC_WAIT = 0.4
 """Seconds that a read is held: bounds how old a configuration can be unknown."""
-KEY_BOUND_SHARE = 0.9
-"""Share of the bound on withdrawn keys for which keys are trusted unseen."""
 MAX_ATTEMPTS = 3
 """Upstreams that may run a call that may be repeated, or fail one sample."""
 LONGEST_TIMEOUT = 86_400.0
--- a/buckthornstile/gateway/__init__.py
+++ b/buckthornstile/gateway/__init__.py
@@ -5,6 +5,7 @@
 from buckthornstile.gateway._fleet import Fleet
 from buckthornstile.gateway._followers import Followers
 from buckthornstile.gateway._handlers import (
+    KEY_BOUND_SHARE,
     ClientHandlers,
     HandlerTools,
     make_error_reply,
@@ -30,6 +31,7 @@
 from buckthornstile.gateway._watch import Watch
 
 __all__ = [
+    "KEY_BOUND_SHARE",
     "PRESENCE_PERIOD",
     "PRESENCE_TOPIC",
     "CallSender",
--- a/buckthornstile/settings/_entry.py
+++ b/buckthornstile/settings/_entry.py
@@ -14,6 +14,12 @@
 )
 
 NO_PORT = "An empty one serves none."
+LEAST_SETTINGS = {
+    "max_timeout": ("default_timeout", "s"),
+    "max_append_bytes": ("max_record_bytes", "bytes"),
+    "usage_due": ("usage_window", "s"),
+}
+"""Settings that may not be below another one, with the unit of both."""
 
 
 class EntrySettings(CommonSettings):
@@ -142,28 +148,13 @@
             raise ValueError("must be NUMBER:PORT, such as 127.0.0.1:7400")
         return check_address(value)
 
-    @field_validator("max_timeout")
+    @field_validator("max_timeout", "max_append_bytes", "usage_due")
     @classmethod
-    def _check_max_timeout(cls, value: float, info: ValidationInfo) -> float:
-        default = info.data.get("default_timeout")
-        if default is not None and value < default:
-            raise ValueError(f"must be at least default_timeout, {default} s")
-        return value
-
-    @field_validator("max_append_bytes")
-    @classmethod
-    def _check_append(cls, value: int, info: ValidationInfo) -> int:
-        record = info.data.get("max_record_bytes")
-        if record is not None and value < record:
-            raise ValueError(f"must be at least max_record_bytes, {record} bytes")
-        return value
-
-    @field_validator("usage_due")
-    @classmethod
-    def _check_due(cls, value: float, info: ValidationInfo) -> float:
-        window = info.data.get("usage_window")
-        if window is not None and value < window:
-            raise ValueError(f"must be at least usage_window, {window} s")
+    def _check_least(cls, value: float, info: ValidationInfo) -> float:
+        other, unit = LEAST_SETTINGS[str(info.field_name)]
+        least = info.data.get(other)
+        if least is not None and value < least:
+            raise ValueError(f"must be at least {other}, {least} {unit}")
         return value
 
     @field_validator("tls_key")
--- a/soak/_play.py
+++ b/soak/_play.py
@@ -98,6 +98,22 @@
 
     # Steps
 
+    async def run(self) -> list[str]:
+        """Plays the steps under load, then checks.
+
+        Returns:
+            What was seen to be wrong.
+        """
+        stopping = asyncio.Event()
+        load = asyncio.create_task(self.run_load(stopping))
+        try:
+            await self.run_steps()
+            recovery = await self.check_recovery()
+        finally:
+            stopping.set()
+            await load
+        return recovery + await asyncio.to_thread(self.check)
+
     async def run_steps(self) -> None:
         """Carries out the plan; steps overlap where their times do."""
         started = time.monotonic()
@@ -459,12 +475,4 @@
 
 async def _run(soak: SoakRun) -> list[str]:
     asyncio.get_running_loop().set_default_executor(ThreadPoolExecutor(24))
-    stopping = asyncio.Event()
-    load = asyncio.create_task(soak.run_load(stopping))
-    try:
-        await soak.run_steps()
-        recovery = await soak.check_recovery()
-    finally:
-        stopping.set()
-        await load
-    return recovery + await asyncio.to_thread(soak.check)
+    return await soak.run()
