Let the tail put the configuration's pages in order too

The tail's in_order does that for both; the watch's flag goes. Nothing is in force before that read, as before. Tests of configuration, api, commands, tails, withdrawal and operators: 137 passed.

--- a/buckthornstile/api/_configuration.py
+++ b/buckthornstile/api/_configuration.py
@@ -62,7 +62,6 @@
         self.on_change = on_change
         self.fold = ConfigurationFold()
         self.is_loaded = False
-        self._is_settling = False
         self._trainer_versions: dict[str, int] = {}
         self.tail = Tail(
             store,
@@ -73,6 +72,7 @@
             on_record=self._apply,
             on_newest=self._load,
             on_read=self._settle,
+            in_order=True,
         )
         self.versions = Tail(
             store,
@@ -136,8 +136,6 @@
         self.fold.start_over()
         for record in sorted(records, key=lambda one: one.offset):
             self._apply(record)
-        # Pages are no snapshot: what changed between them is read again first.
-        self._is_settling = False
 
     def _apply(self, record: StoredRecord) -> None:
         try:
@@ -146,9 +144,6 @@
             log_event("configuration.unreadable", key=record.key, reason=error)
 
     def _settle(self) -> None:
-        if not self._is_settling:
-            self._is_settling = True
-            return
         is_first = not self.is_loaded
         self.is_loaded = True
         if not self.fold.settle() and not is_first:
