Wait for whole samples, not for whole runs, before all entries are killed

Cause of test_listed_samples_outlive_all_entries, listed as known: on a busy machine an engine pauses for more than 0.6 s, the item is left for another engine, and its first run never finishes, so that the test's wait for all runs to finish cannot end. Traced with a stall of 3 s after nine events: the old wait fails with the same time-out each time. Change: the test waits for four finished runs, compares the runs before the kill with those at the end, and is played with such a stall too.

--- a/tests/test_kills.py
+++ b/tests/test_kills.py
@@ -43,6 +43,11 @@
         asyncio.run(scenario(world))
 
 
+def list_all_runs(world):
+    workers = world.workers.values()
+    return [run for worker in workers for run in worker.read_journal("run")]
+
+
 async def wait_billed(world):
     await world.until(
         lambda: (
@@ -148,8 +153,13 @@
         asyncio.run(scenario(world))
 
 
-def test_listed_samples_outlive_all_entries():
+@pytest.mark.parametrize("stalled", [False, True])
+def test_listed_samples_outlive_all_entries(stalled):
+    """Also those whose first run stalled, and was left for another engine."""
+
     async def scenario(world):
+        if stalled:
+            world.workers["engine-0"].add_fault("stall", seconds=3, value=9, count=1)
         trainer = world.make_trainer()
         specification = make_lot("lot-2", groups=1, samples=4, tokens=50)
         lot = asyncio.create_task(world.run_lot(trainer, specification))
@@ -157,14 +167,11 @@
         # The store holds every result before an entry passes it on.
         await world.until(lambda: len(world.evidence.samples) >= 1, "a sample came")
         await world.until(
-            lambda: all(
-                run["finished"]
-                for worker in world.workers.values()
-                for run in worker.read_journal("run")
-            ),
+            lambda: sum(run["finished"] for run in list_all_runs(world)) == 4,
             "the engines are done",
         )
         await asyncio.sleep(0.5)
+        runs = len(list_all_runs(world))
         names = list(world.entries)
         for name in names:
             world.entries[name].kill()
@@ -173,7 +180,9 @@
             world.add_entry(name, "bench-a", instead_of=world.entries[name])
         assert len(await lot) == 4
         # No sample was made again: the store had them.
-        assert max(count_runs(world.check()).values()) == 4
+        assert max(count_runs(world.check()).values()) == runs
+        # A run that was left for another engine never finishes at the first one.
+        assert runs >= 4 + stalled
 
     with World(engines=2, engine_flags=SLOW_ENGINE) as world:
         asyncio.run(scenario(world))
