Choose one owner for the jobs of a trainer; read no request that a stopping entry cannot answer

Owner: cause: jobs are owned by whoever accepts them, so each of 31 entries knows only its own runs at the engines, and opens connections of its own. Change: jobs of one account, route and model share an owner, chosen by rendezvous among the partition's living followers, also when they are taken over.

Change: before the last record, idle connections and the listening sockets are closed, and what was read meanwhile is finished. A request counts as open from its head on. Test fails first.

The daemon's factories of parts are in a module of their own.

--- a/buckthornstile/api/_lots.py
+++ b/buckthornstile/api/_lots.py
@@ -247,7 +247,7 @@
                 minimum=minimum,
                 submitted_at=self.tools.wall_clock(),
             )
-            owner = self.tools.choose_first_owner(job_id, account)
+            owner = self.tools.choose_first_owner(specification)
             await self.tools.jobs.accept(specification, owner)
             log_event("job.accepted", job=job_id, lot=attach.lot, owner=owner)
             job = await self._wait_for_job(job_id)
--- a/buckthornstile/api/_tools.py
+++ b/buckthornstile/api/_tools.py
@@ -9,7 +9,6 @@
 from buckthornstile.api._requests import ApiRequest
 from buckthornstile.api._revocation import Revocation, make_withdrawn
 from buckthornstile.base import (
-    AccountId,
     BuckthornstileError,
     ErrorCode,
     KeyId,
@@ -18,7 +17,7 @@
 )
 from buckthornstile.configuration import ANY_TRAINER, Account, Key, hash_key
 from buckthornstile.gateway import CallSender, GatewayMetrics, JobStore, StreamRelay
-from buckthornstile.jobs import JobId
+from buckthornstile.jobs import JobSpecification
 from buckthornstile.settings import EntrySettings
 from buckthornstile.topology import Route, TopologyView
 
@@ -42,7 +41,7 @@
     metrics: GatewayMetrics
     clock: Callable[[], float]
     wall_clock: Callable[[], float]
-    choose_first_owner: Callable[[JobId, AccountId], ProcessName]
+    choose_first_owner: Callable[[JobSpecification], ProcessName]
     is_stopping: Callable[[], bool]
 
 
--- a/buckthornstile/entry/_daemon.py
+++ b/buckthornstile/entry/_daemon.py
@@ -1,7 +1,6 @@
 """The entry's process: puts the parts together and runs them."""
 
 import asyncio
-import random
 import signal
 import ssl
 from collections.abc import Awaitable, Callable
@@ -29,34 +28,28 @@
 )
 from buckthornstile.calls import ClientRequest, Reply, StreamReply
 from buckthornstile.clock import read_boottime, read_wall_time
-from buckthornstile.duties import LoadPlanner
 from buckthornstile.entry._announcer import Announcer
 from buckthornstile.entry._door import Door, DoorProtocol
+from buckthornstile.entry._parts import (
+    make_control,
+    make_job_store,
+    make_upstream_side,
+)
 from buckthornstile.exchanges import ConnectionPool
 from buckthornstile.gateway import (
-    CallSender,
     ClientHandlers,
-    Control,
-    Fleet,
     Followers,
     GatewayMetrics,
     HandlerTools,
     JobOwner,
-    JobStore,
     JobTools,
-    LeaseKeeper,
-    LoadOrders,
     PeerClient,
-    StreamRelay,
     StreamRunner,
-    UsageReports,
-    Watch,
     make_error_reply,
 )
 from buckthornstile.jobs import Job
 from buckthornstile.logs import EventLineHandler, log_event, set_up_event_lines
 from buckthornstile.platform import (
-    DutyClient,
     StoreClient,
     decode_request,
     encode_reply,
@@ -200,44 +193,30 @@
         return work
 
     def _make_upstream_side(self) -> None:
-        settings = self.settings
-        self.fleet = Fleet(
-            self.view,
-            self.clock,
-            count_entries=self._list_possible,
-            name=self.name,
-            overage=settings.cold_overage,
-            slack=settings.cold_slack,
-            default_cold_rate=settings.cold_rate,
-        )
-        self.watch = Watch(
-            self.store,
-            self.view,
+        side = make_upstream_side(
+            self.settings,
+            self.name,
+            store=self.store,
+            pool=self.pool,
+            view=self.view,
             clock=self.clock,
+            list_possible=self.presence.list_possible,
             on_change=self._note_topology,
-            heartbeat=settings.heartbeat,
-        )
-        self.sender = CallSender(
-            self.fleet,
-            self.pool,
-            random_source=random.Random(self.name),
             count_run=self._count_run,
         )
-        self.relay = StreamRelay(self.sender, self.fleet, self.pool)
+        self.fleet, self.watch = side.fleet, side.watch
+        self.sender, self.relay = side.sender, side.relay
 
     def _make_jobs(self) -> None:
-        settings = self.settings
         self.followers = Followers(self.name, self.presence)
-        self.jobs = JobStore(
-            self.store,
-            parts=settings.store_parts,
-            max_record_bytes=settings.max_record_bytes,
-            max_append_bytes=settings.max_append_bytes,
-            name=self.name,
+        self.jobs = make_job_store(
+            self.settings,
+            self.name,
+            store=self.store,
+            followers=self.followers,
             clock=self.clock,
             wall_clock=self.read_wall,
             on_change=self._note_job,
-            follows=self.followers.follows,
             may_load=self._may_load_jobs,
         )
         tools = JobTools(
@@ -255,42 +234,22 @@
             self.presence,
             followers=self.followers,
             clock=self.clock,
-            lifetime=settings.result_lifetime,
+            lifetime=self.settings.result_lifetime,
             is_withdrawn=self._is_withdrawn,
         )
 
     def _make_control(self) -> None:
-        settings = self.settings
-        keeper = LeaseKeeper(
+        self.control = make_control(
+            self.settings,
             self.name,
             store=self.store,
-            clock=self.clock,
-            turn_bound=settings.turn_bound,
-        )
-        planner = LoadPlanner(
-            self.view, clock=self.clock, is_suspect=self.fleet.is_suspect
-        )
-        orders = LoadOrders(
-            settings.process,
-            keeper,
-            view=self.view,
-            planner=planner,
             pool=self.pool,
-            on_news=self.announcer.hurry,
-            note_failure=self.fleet.note_failure,
+            view=self.view,
+            fleet=self.fleet,
+            announcer=self.announcer,
+            clock=self.clock,
+            wall_clock=self.read_wall,
         )
-        reports = None
-        if settings.duty_address:
-            reports = UsageReports(
-                settings.process,
-                keeper,
-                totals=self.announcer.totals,
-                client=DutyClient(settings.duty_address),
-                wall_clock=self.read_wall,
-                due=settings.usage_due,
-                list_counting=self.presence.list_possible,
-            )
-        self.control = Control(keeper, orders, reports)
 
     def _make_platform_doors(self) -> None:
         settings = self.settings
@@ -439,9 +398,6 @@
             return None
         return find_key_error(self.configuration, key)
 
-    def _list_possible(self) -> list[str]:
-        return list(self.presence.list_possible())
-
     def _reload(self) -> None:
         try:
             settings = read_node_settings()
@@ -478,16 +434,24 @@
         await self.announcer.announce()
         began = self.clock()
         end = began + self.settings.stop_grace - STOP_MARGIN
-        while self.clock() < end:
-            open_work = sum(door.open for door in self.doors)
-            open_work += self.owner.count_running()
-            if not open_work and self.clock() > began + DRAIN_TIME:
-                break
-            await asyncio.sleep(STOP_POLL)
+        await self._finish_work(began + DRAIN_TIME, end)
+        # From here on no request is read that could not be answered any more.
+        for door in self.doors:
+            door.close_idle()
+        await self._finish_work(self.clock(), end)
         await self.announcer.announce()
         for door in self.doors:
             await door.close()
 
+    async def _finish_work(self, earliest: float, latest: float) -> None:
+        """Waits until nothing is open, between two times."""
+        while self.clock() < latest:
+            open_work = sum(door.open for door in self.doors)
+            open_work += self.owner.count_running()
+            if not open_work and self.clock() >= earliest:
+                return
+            await asyncio.sleep(STOP_POLL)
+
 
 def make_ssl_options(settings: EntrySettings) -> ssl.SSLContext | None:
     """Makes the TLS options of the product's own interface, if it has any."""
--- a/buckthornstile/entry/_door.py
+++ b/buckthornstile/entry/_door.py
@@ -77,10 +77,11 @@
         self.handler = handler
         self.address = address
         self.protocol = protocol
-        self.open = 0
         self.max_body_bytes = MAX_BODY_BYTES
         self.max_header_bytes = MAX_HEADER_BYTES
         self.is_closing = False
+        self._idle: dict[object, HTTPConnection] = {}
+        self._begun: set[_Message] = set()
         self._server = HTTPServer(
             self,  # type: ignore[arg-type]
             idle_connection_timeout=idle_timeout,
@@ -101,6 +102,17 @@
         self.is_closing = True
         self._server.conn_params.no_keep_alive = True
 
+    @property
+    def open(self) -> int:
+        """Requests whose head was read and whose answer is not written yet."""
+        return len(self._begun)
+
+    def close_idle(self) -> None:
+        """Stops listening, and closes the connections without a request."""
+        self._server.stop()
+        for connection in list(self._idle.values()):
+            connection.close()  # type: ignore[attr-defined]
+
     async def close(self) -> None:
         """Stops listening and closes all connections."""
         self._server.stop()
@@ -111,17 +123,31 @@
     def start_request(
         self, server_conn: object, request_conn: HTTPConnection
     ) -> HTTPMessageDelegate:
-        return _Message(self, request_conn)
+        # Called when the connection begins to wait for a request.
+        self._idle[server_conn] = request_conn
+        return _Message(self, server_conn, request_conn)
 
     def on_close(self, server_conn: object) -> None:
-        pass
+        self._idle.pop(server_conn, None)
+
+    def begin(self, message: "_Message") -> None:
+        """Notes that the head of a request was read."""
+        self._idle.pop(message.server_connection, None)
+        self._begun.add(message)
+
+    def end(self, message: "_Message") -> None:
+        """Notes that a request was answered, or that its client has left."""
+        self._begun.discard(message)
 
 
 class _Message(HTTPMessageDelegate):
     """One request and its answer."""
 
-    def __init__(self, door: Door, connection: HTTPConnection) -> None:
+    def __init__(
+        self, door: Door, server_connection: object, connection: HTTPConnection
+    ) -> None:
         self.door = door
+        self.server_connection = server_connection
         self.connection = connection
         self.line: RequestStartLine | None = None
         self.headers = HTTPHeaders()
@@ -137,6 +163,7 @@
     ) -> Awaitable[None] | None:
         assert isinstance(start_line, RequestStartLine)
         self.line, self.headers = start_line, headers
+        self.door.begin(self)
         if self._count_header_bytes() > self.door.max_header_bytes:
             return self._refuse(ErrorCode.HEADERS_TOO_LARGE, "the headers are too long")
         declared = headers.get("Content-Length", "")
@@ -157,10 +184,12 @@
         if self.is_refused:
             return
         self.task = asyncio.create_task(self._serve())
+        self.task.add_done_callback(lambda _: self.door.end(self))
         self.connection.set_close_callback(self._note_left)  # type: ignore[attr-defined]
 
     def on_connection_close(self) -> None:
         self.body.clear()
+        self.door.end(self)
 
     def _note_left(self) -> None:
         if self.task is not None:
@@ -182,7 +211,10 @@
         request = self._decode(b"")
         reply = self.door.protocol.render_error(BuckthornstileError(code, message))
         log_event("request.too_large", request=request.id, reason=message)
-        await self._write(request, reply, is_last=True)
+        try:
+            await self._write(request, reply, is_last=True)
+        finally:
+            self.door.end(self)
 
     def _decode(self, body: bytes) -> AnyRequest:
         assert self.line is not None
@@ -191,7 +223,6 @@
         )
 
     async def _serve(self) -> None:
-        self.door.open += 1
         request = self._decode(b"".join(self.body))
         try:
             reply = await self._handle(request)
@@ -201,8 +232,6 @@
                 await self._write(request, reply, is_last=self.door.is_closing)
         except asyncio.CancelledError:
             log_event("client.left", request=request.id, path=request.path[:40])
-        finally:
-            self.door.open -= 1
 
     async def _handle(self, request: AnyRequest) -> AnyReply:
         try:
--- a/buckthornstile/entry/tests/test_jobs.py
+++ b/buckthornstile/entry/tests/test_jobs.py
@@ -40,6 +40,30 @@
     assert data == {"total": 5, "results": first[3:], "nextToken": 5}
 
 
+@in_world
+async def test_jobs_that_follow_each_other_share_an_owner(world: World) -> None:
+    """Whoever accepts them: so the owner knows what it sent to the engines."""
+    world.add_worker("w1", DESK)
+    world.add_worker("m1", MODELS)
+    names = ["e1", "e2", "e3"]
+    for name in names:
+        await world.add_entry(name)
+    for name in names:
+        entry = world.entries[name]
+        await world.wait_for(lambda one=entry: len(one.presence.list_live()) == 3)
+    owners = set()
+    for number, name in enumerate(names * 2):
+        job = make_job(1, prefix=f"s{number}")
+        assert await world.submit(name, job, f"j{number}") == 202
+        owners.add((await world.find_owner(f"j{number}"))[0])
+    assert len(owners) == 1
+    owner = owners.pop()
+    other = next(name for name in names if name != owner)
+    await world.kill(owner)
+    assert await world.submit(other, make_job(1, prefix="t"), "j9") == 202
+    await world.read_all(other, "j9", 1)
+
+
 @in_world
 async def test_repeated_submission_is_accepted_once(world: World) -> None:
     world.add_worker("w1", DESK)
@@ -82,9 +106,10 @@
     await world.add_entry("e2")
     model.faults.add({"kind": "stall", "value": 2, "seconds": 30, "count": 1})
     assert await world.submit("e1", make_job(6), "j1") == 202
-    before = await world.read_all("e2", "j1", 4)
-    await world.kill("e1")
-    after = await world.read_all("e2", "j1", 6)
+    owner, other = await world.find_owner("j1")
+    before = await world.read_all(other, "j1", 4)
+    await world.kill(owner)
+    after = await world.read_all(other, "j1", 6)
     assert after[: len(before)] == before
     await world.add_entry("e3")
     assert await world.read_all("e3", "j1", 6) == after
@@ -94,16 +119,18 @@
 async def test_former_owner_cannot_list_a_result(world: World) -> None:
     world.add_worker("w1", DESK)
     model = world.add_worker("m1", MODELS, event_seconds=0.3)
-    first = await world.add_entry("e1")
-    second = await world.add_entry("e2")
+    await world.add_entry("e1")
+    await world.add_entry("e2")
     assert await world.submit("e1", make_job(3), "j1") == 202
+    owner, other = await world.find_owner("j1")
+    first, second = world.entries[owner], world.entries[other]
     await world.wait_for(lambda: second.jobs.table.find("j1"))
     job = second.jobs.table.find("j1")
     await second.jobs.claim(job)
     model.state.event_seconds = 0.002
-    results = await world.read_all("e2", "j1", 3)
+    results = await world.read_all(other, "j1", 3)
     await world.wait_for(lambda: not first.owner.count_running())
-    assert await world.read_all("e1", "j1", 3) == results
+    assert await world.read_all(owner, "j1", 3) == results
     records = world.log.get("keyed.jobs", job.part).records
     listed = [record for _, record in records if record[1:].startswith(b"r/j1/")]
     assert len(listed) == 3
@@ -280,13 +307,15 @@
     world.add_worker("w1", DESK)
     model = world.add_worker("m1", MODELS, events=40, event_seconds=0.05)
     await world.add_entry("e1")
-    second = await world.add_entry("e2")
+    await world.add_entry("e2")
     assert await world.submit("e1", make_job(1), "j1") == 202
+    owner, other = await world.find_owner("j1")
+    second = world.entries[other]
     await world.wait_for(lambda: second.jobs.table.find("j1"))
     job = second.jobs.table.find("j1")
     await world.wait_for(lambda: job.get_progress("i0"))
-    await world.kill("e1")
-    (result,) = await world.read_all("e2", "j1", 1)
+    await world.kill(owner)
+    (result,) = await world.read_all(other, "j1", 1)
     assert result["text"] == make_text("i0", 40)
     last = model.list_runs()[-1]["headers"]
     assert int(last["Last-Event-Id"]) >= 8
@@ -297,14 +326,15 @@
 async def test_planned_stop_hands_jobs_over(world: World) -> None:
     world.add_worker("w1", DESK)
     model = world.add_worker("m1", MODELS, events=60, event_seconds=0.05)
-    first = await world.add_entry("e1")
-    second = await world.add_entry("e2")
+    await world.add_entry("e1")
+    await world.add_entry("e2")
     assert await world.submit("e1", make_job(1), "j1") == 202
+    owner, other = await world.find_owner("j1")
     await world.wait_for(model.list_runs)
     await asyncio.sleep(0.3)
-    stopping = asyncio.create_task(first._drain())
-    await world.wait_for(second.owner.count_running, timeout=1.5)
-    (result,) = await world.read_all("e2", "j1", 1)
+    stopping = asyncio.create_task(world.entries[owner]._drain())
+    await world.wait_for(world.entries[other].owner.count_running, timeout=1.5)
+    (result,) = await world.read_all(other, "j1", 1)
     assert result["text"] == make_text("i0", 60)
     await stopping
 
--- /dev/null
+++ b/buckthornstile/entry/tests/test_stop.py
@@ -0,0 +1,73 @@
+"""A planned stop of a whole entry: what is read is answered, the rest is not run."""
+
+import asyncio
+from unittest.mock import patch
+
+from buckthornstile.base import BuckthornstileError
+from buckthornstile.entry import _daemon
+from buckthornstile.entry.tests.world import DESK, HOST, KEY, World, in_world
+from buckthornstile.exchanges import ConnectionPool, OutgoingRequest
+
+
+def make_request(name: str) -> OutgoingRequest:
+    headers = [
+        ("Host", HOST),
+        ("Credential", KEY),
+        ("Request-Id", name),
+        ("Deadline-Ms", "2000"),
+    ]
+    return OutgoingRequest("POST", "/orders/7", headers, b"hello")
+
+
+@in_world
+async def test_request_that_crosses_the_end_is_answered_or_never_run(
+    world: World,
+) -> None:
+    """It comes on a kept connection while the last counts are stored."""
+    worker = world.add_worker("w1", DESK, work_seconds=0.2)
+    entry = await world.add_entry("e1")
+    address = entry.settings.client_address
+    pool, outcomes = ConnectionPool(), []
+    await pool.exchange(address, make_request("r0"))
+    announce = entry.announcer.announce
+    sending: list[asyncio.Task[None]] = []
+    calls = 0
+
+    async def send() -> None:
+        try:
+            outcomes.append((await pool.exchange(address, make_request("r1"))).status)
+        except BuckthornstileError as error:
+            outcomes.append(error.code)
+
+    async def announce_slowly() -> None:
+        nonlocal calls
+        if asyncio.current_task() is stopping:
+            calls += 1
+            if calls == 2:
+                sending.append(asyncio.create_task(send()))
+                await asyncio.sleep(0.1)
+        await announce()
+
+    with (
+        patch.object(_daemon, "DRAIN_TIME", 0.3),
+        patch.object(entry.announcer, "announce", announce_slowly),
+    ):
+        stopping = asyncio.create_task(entry._drain())
+        await stopping
+    await asyncio.gather(*sending)
+    runs = {run["headers"]["Request-Id"] for run in worker.list_runs()}
+    assert len(sending) == 1
+    assert outcomes == [200] or "r1" not in runs
+    pool.close()
+
+
+@in_world
+async def test_open_request_is_answered_before_the_end(world: World) -> None:
+    world.add_worker("w1", DESK, work_seconds=1.0)
+    entry = await world.add_entry("e1")
+    calling = asyncio.create_task(world.call("e1", "r1"))
+    await world.wait_for(lambda: entry.client_door.open)
+    with patch.object(_daemon, "DRAIN_TIME", 0.1):
+        await entry._drain()
+    assert (await calling).status == 200
+    assert not entry.client_door.open
--- a/buckthornstile/entry/tests/world.py
+++ b/buckthornstile/entry/tests/world.py
@@ -15,6 +15,7 @@
 
 from buckthornstile.entry import Entry
 from buckthornstile.exchanges import Answer, ConnectionPool, OutgoingRequest
+from buckthornstile.jobs import JobId
 from buckthornstile.logs import EventLineHandler
 from buckthornstile.platform._node_settings import decode_node_settings
 from standins.faults import FaultTable
@@ -302,6 +303,20 @@
         )
         return answer.status
 
+    async def find_owner(self, job_id: str) -> tuple[str, str]:
+        """Finds the entry that owns a job, and names another one beside it."""
+        found: list[str] = []
+
+        def find() -> bool:
+            for name, entry in self.entries.items():
+                job = entry.jobs.table.find(JobId(job_id))
+                if job is not None and job.claim and job.claim.owner == entry.name:
+                    found[:] = [name, *(one for one in self.entries if one != name)]
+            return bool(found)
+
+        await self.wait_for(find)
+        return found[0], found[1]
+
     async def read_results(
         self, entry: str, job_id: str, after: int = 0, wait: int = 0
     ) -> tuple[int, dict[str, Any]]:
--- a/buckthornstile/gateway/_handlers.py
+++ b/buckthornstile/gateway/_handlers.py
@@ -22,7 +22,7 @@
 from buckthornstile.gateway._peers import PeerClient
 from buckthornstile.gateway._relay import StreamRelay
 from buckthornstile.gateway._watch import Watch
-from buckthornstile.jobs import Job, JobId
+from buckthornstile.jobs import Job, JobId, JobSpecification
 from buckthornstile.logs import log_event
 from buckthornstile.platform import Subject, decode_job, find_subject, render_results
 from buckthornstile.topology import Account, Route, RouteKind, TopologyView
@@ -54,7 +54,7 @@
     clock: Callable[[], float]
     wall_clock: Callable[[], float]
     metrics: GatewayMetrics
-    choose_first_owner: Callable[[JobId, AccountId], ProcessName]
+    choose_first_owner: Callable[[JobSpecification], ProcessName]
     peers: PeerClient
     key_bound: float
     fails_closed: bool
@@ -200,7 +200,7 @@
             route=route,
             submitted_at=self.tools.wall_clock(),
         )
-        first_owner = self.tools.choose_first_owner(specification.id, owner)
+        first_owner = self.tools.choose_first_owner(specification)
         await self.tools.jobs.accept(specification, first_owner)
         log_event(
             "job.accepted",
--- a/buckthornstile/gateway/_job_owner.py
+++ b/buckthornstile/gateway/_job_owner.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 
 from buckthornstile.base import (
-    AccountId,
     BuckthornstileError,
     KeyId,
     ProcessName,
@@ -13,7 +12,7 @@
 from buckthornstile.gateway._item_work import JobTools
 from buckthornstile.gateway._job_runner import JobRunner
 from buckthornstile.gateway._presence import PresenceTable
-from buckthornstile.jobs import Job, JobId
+from buckthornstile.jobs import Job, JobId, JobSpecification
 from buckthornstile.logs import log_event
 from buckthornstile.routing import compute_score
 
@@ -76,15 +75,15 @@
             log_event("job.stop", job=job.id, ended=job.ended, owned=is_mine)
             self._runners.pop(job.id).stop()
 
-    def choose_first_owner(self, job: JobId, account: AccountId) -> ProcessName:
+    def choose_first_owner(self, specification: JobSpecification) -> ProcessName:
         """Chooses who runs a job that this process accepts."""
-        part = self.tools.store.find_part(account)
-        if not self.is_leaving and self.tools.store.is_followed(part):
-            return self.name
-        others = [
-            name for name in self.followers.list_followers(part) if name != self.name
+        part = self.tools.store.find_part(specification.account)
+        followers = [
+            name
+            for name in self.followers.list_followers(part)
+            if name != self.name or not self.is_leaving
         ]
-        chosen = choose_owner(job, others)
+        chosen = choose_owner(specification, followers)
         if chosen is None:
             self.tools.store.follow(part)
         return chosen or self.name
@@ -166,7 +165,7 @@
     def _is_chosen(self, job: Job) -> bool:
         """Whether this process is the one that should run a job."""
         candidates = self.followers.list_followers(job.part)
-        return choose_owner(job.id, candidates) == self.name
+        return choose_owner(job.specification, candidates) == self.name
 
     def _is_orphan(self, job: Job, live: list[ProcessName]) -> bool:
         age = self.clock() - job.started_at
@@ -199,11 +198,19 @@
                 log_event("job.dropped", job=job.id)
 
 
-def choose_owner(job: JobId, live: list[ProcessName]) -> ProcessName | None:
+def choose_owner(
+    specification: JobSpecification, live: list[ProcessName]
+) -> ProcessName | None:
     """Chooses the one living process that should run a job.
 
-    Example:
-        >>> choose_owner("j", ["a", "b"]) == choose_owner("j", ["b", "a"])
-        True
+    The jobs of one account, route and model, which follow each other, share an
+    owner: it knows what it sent to the engines and keeps its connections to them.
+
+    Args:
+        specification: The job.
+        live: The processes to choose from.
     """
-    return max(live, key=lambda name: (compute_score(job, name), name), default=None)
+    series = "\0".join(
+        (specification.account, specification.path_prefix, specification.model or "")
+    )
+    return max(live, key=lambda name: (compute_score(series, name), name), default=None)
