Pass calls to the store on for entries that cannot reach it

Ruled out: waiting for places (no item waited over 0.1 s before), slow engines. Presence records have a shorter time-out and are made again at once, so that the cut entry is not taken as gone. Counts that the store carries out late replace no newer ones. An answer of 503 whose body is no JSON was taken as an append of unknown outcome; its status is looked at first.

--- a/buckthornstile/duties/_usage.py
+++ b/buckthornstile/duties/_usage.py
@@ -78,6 +78,8 @@
             counts: Its counts, by window and account.
             made_at: When it counted them, in seconds since the epoch by its clock.
         """
+        if made_at < self._counted_at.get(process, -inf):
+            return  # the store carried out an earlier record late
         self._counted_at[process] = made_at
         for window, by_account in counts.items():
             self._counts.setdefault(window, {})[process] = by_account
--- a/buckthornstile/entry/_announcer.py
+++ b/buckthornstile/entry/_announcer.py
@@ -24,6 +24,11 @@
 """Seconds after the first reading of presence records until they are acted on."""
 PRESENCE_WAIT = 0.4
 PRESENCE_PAUSE = 0.1
+APPEND_TIMEOUT = 0.5
+"""Seconds; a second try, by another way to the store, must come before others take
+this process as gone."""
+RETRY_PAUSE = 0.2
+"""Seconds before a record is made again that the store did not take."""
 
 
 class Announcer:
@@ -86,14 +91,20 @@
     async def run(self) -> None:
         """Appends records until cancelled."""
         while True:
-            await self.announce()
+            is_stored = await self.announce()
             self._news.clear()
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(PRESENCE_PERIOD):
+                async with asyncio.timeout(
+                    PRESENCE_PERIOD if is_stored else RETRY_PAUSE
+                ):
                     await self._news.wait()
 
-    async def announce(self) -> None:
-        """Appends one record; a failure is logged and the next one makes it good."""
+    async def announce(self) -> bool:
+        """Appends one record; a failure is logged and the next one makes it good.
+
+        Returns:
+            Whether the store took it.
+        """
         now = self.wall_clock()
         record = PresenceRecord(
             self.name,
@@ -106,9 +117,13 @@
             made_at=now,
         )
         try:
-            await self.store.append(PRESENCE_TOPIC, 0, [record.encode()])
+            await self.store.append(
+                PRESENCE_TOPIC, 0, [record.encode()], timeout=APPEND_TIMEOUT
+            )
         except BuckthornstileError as error:
             log_event("presence.append_failed", reason=error.message)
+            return False
+        return True
 
     def _apply(self, offset: int, data: bytes) -> None:
         try:
--- a/buckthornstile/entry/_daemon.py
+++ b/buckthornstile/entry/_daemon.py
@@ -1,6 +1,7 @@
 """The entry's process: puts the parts together and runs them."""
 
 import asyncio
+import random
 import signal
 import ssl
 from collections.abc import Awaitable, Callable
@@ -44,6 +45,8 @@
     JobOwner,
     JobTools,
     PeerClient,
+    StorePath,
+    StoreRelay,
     StreamRunner,
     make_error_reply,
 )
@@ -53,6 +56,7 @@
     StoreClient,
     decode_request,
     encode_reply,
+    is_store_call,
     read_node_settings,
 )
 from buckthornstile.settings import EntrySettings
@@ -95,7 +99,13 @@
         self.doors: list[Door] = []
         self.api_port = 0
         self.view = TopologyView()
-        self.store = StoreClient(settings.store_address)
+        self.store_path = StorePath(
+            self.clock,
+            lambda: self.announcer.presence.list_addresses(self.name),
+            random.Random(name),
+        )
+        self.store = StoreClient(settings.store_address, path=self.store_path)
+        self.store_relay = StoreRelay(self.store, self.store_path)
         self.pool = ConnectionPool()
         self.metrics = GatewayMetrics()
         self.announcer = Announcer(
@@ -187,6 +197,7 @@
             self.owner.run,
             self.announcer.tail.run,
             self.announcer.run,
+            self._probe_store,
         ]
         if self.configuration is not None:
             work += [self.configuration.run, self._check_keys]
@@ -272,7 +283,8 @@
         self.client_door = self._add_door(handlers.handle, settings.client_address)
         self._add_door(self._answer_ready, settings.ready_address)
         self._add_door(self._answer_metrics, settings.metrics_address)
-        self._add_door(handlers.handle_forwarded, settings.peer_address)
+        self.client_handlers = handlers
+        self._add_door(self._answer_peer, settings.peer_address)
 
     def _add_door(
         self,
@@ -332,6 +344,19 @@
     async def _answer_ready(self, request: ClientRequest) -> Reply:
         return Reply(200 if self.is_ready() else 503)
 
+    async def _answer_peer(self, request: ClientRequest) -> Reply | StreamReply:
+        if not is_store_call(request.path):
+            return await self.client_handlers.handle_forwarded(request)
+        try:
+            return await self.store_relay.handle(request)
+        except BuckthornstileError as error:
+            log_event(
+                "store.call_not_passed_on",
+                reason=error.message,
+                verdict=error.verdict.value,
+            )
+            return make_error_reply(error)
+
     async def _answer_metrics(self, request: ClientRequest) -> Reply:
         text = self._render_metrics()
         return Reply(200, text.encode(), (("Content-Type", "text/plain"),))
@@ -416,6 +441,9 @@
                 log_event("task.failed", task=work.__qualname__, reason=repr(error))
             await asyncio.sleep(RESTART_PAUSE)
 
+    async def _probe_store(self) -> None:
+        await self.store_path.keep_probing(self.store.probe)
+
     async def _check_keys(self) -> None:
         while True:
             await asyncio.sleep(KEY_CHECK_PERIOD)
--- a/buckthornstile/gateway/__init__.py
+++ b/buckthornstile/gateway/__init__.py
@@ -26,6 +26,7 @@
     decode_presence,
 )
 from buckthornstile.gateway._relay import StreamRelay
+from buckthornstile.gateway._store_path import StorePath, StoreRelay
 from buckthornstile.gateway._streams import StreamRunner
 from buckthornstile.gateway._usage_reports import UsageReports
 from buckthornstile.gateway._watch import Watch
@@ -51,6 +52,8 @@
     "PresenceTable",
     "StreamRelay",
     "StreamRunner",
+    "StorePath",
+    "StoreRelay",
     "UsageReports",
     "Versions",
     "Watch",
--- a/buckthornstile/gateway/_presence.py
+++ b/buckthornstile/gateway/_presence.py
@@ -148,6 +148,14 @@
         peer = self._peers.get(name)
         return peer.record.address if peer is not None else ""
 
+    def list_addresses(self, besides: ProcessName) -> list[str]:
+        """Lists where the processes that may live answer, but for one of them."""
+        return [
+            peer.record.address
+            for name in self.list_possible()
+            if name != besides and (peer := self._peers[name]).record.address
+        ]
+
     def is_known(self, name: ProcessName) -> bool:
         """Whether a record of a process was read, however old it is now."""
         return name in self._peers
--- a/buckthornstile/platform/__init__.py
+++ b/buckthornstile/platform/__init__.py
@@ -40,6 +40,7 @@
     StoredRecord,
     decode_keyed_record,
     encode_keyed_record,
+    is_store_call,
 )
 from buckthornstile.platform._upstreams import (
     EventReader,
@@ -90,6 +91,7 @@
     "encode_reply",
     "encode_report_call",
     "find_subject",
+    "is_store_call",
     "read_node_settings",
     "render_results",
 ]
--- a/buckthornstile/platform/_store.py
+++ b/buckthornstile/platform/_store.py
@@ -6,7 +6,7 @@
 import struct
 from collections.abc import Sequence
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, Protocol
 from urllib.parse import urlencode
 
 from buckthornstile.base import (
@@ -15,14 +15,22 @@
     PlatformUnavailableError,
     Verdict,
 )
+from buckthornstile.calls import ClientRequest
 from buckthornstile.exchanges import Answer, ConnectionPool, OutgoingRequest
+from buckthornstile.platform._names import DEADLINE, OPERATOR_TOPIC
 
 LENGTH = struct.Struct(">I")
 READ_HEAD = struct.Struct(">QQ")
 CALL_TIMEOUT = 1.0
 """Seconds for a call that does not wait at the store."""
 READ_KILOBYTES = 1024
+PROBE_TIMEOUT = 0.5
+"""Seconds for a call that only shows whether the store can be reached."""
 UNAVAILABLE_STATUSES = (429, 503, 507)
+TURNED_AWAY_STATUSES = (429, 502, 503)
+"""Answers that show that this way to the store does not work now; 502 comes from a
+process that passed the call on and got no answer."""
+STORE_PATH = "/-/log-"
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,19 +93,51 @@
     sequence: int
 
 
+class PathChooser(Protocol):
+    """Chooses the way of each call, and learns what became of it.
+
+    A way is the address of a process that passes calls on, or "" for the direct one.
+    """
+
+    def choose(self) -> str:
+        """Gives the way of the next call."""
+
+    def note_success(self, relay: str) -> None:
+        """Notes a call that the store answered."""
+
+    def note_failure(self, relay: str) -> None:
+        """Notes a call that the store did not take, or that had no answer."""
+
+
+class DirectPath:
+    """Makes every call the direct way."""
+
+    def choose(self) -> str:
+        """Gives the direct way."""
+        return ""
+
+    def note_success(self, relay: str) -> None:
+        """Takes no note."""
+
+    def note_failure(self, relay: str) -> None:
+        """Takes no note."""
+
+
 class StoreClient:
     """Calls to the store, each made once.
 
     Args:
         address: The store, as ``IP:port``.
+        path: Chooses the way of each call; the direct one by default.
 
     Example:
         >>> StoreClient("127.0.0.1:1").address
         '127.0.0.1:1'
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, *, path: PathChooser | None = None) -> None:
         self.address = address
+        self.path = path or DirectPath()
         self._pool = ConnectionPool(maximum_idle=16)
 
     async def append(
@@ -137,6 +177,8 @@
         body = b"".join(LENGTH.pack(len(record)) + record for record in records)
         path = "/-/log-append?" + urlencode(query)
         answer = await self._call("POST", path, body, timeout)
+        if answer.status not in (409, 412):
+            _check_status(answer)
         data = _decode_json(answer.body) if answer.body else {}
         if answer.status == 412:
             raise AppendRefusedError("end", int(data.get("end", -1)))
@@ -144,7 +186,6 @@
             if data.get("why") == "fenced":
                 raise AppendRefusedError("fenced", -1)
             raise AppendRefusedError("sequence", _find_sequence(data))
-        _check_status(answer)
         return int(data["offset"])
 
     async def read(
@@ -218,29 +259,78 @@
             pages.records.append(StoredRecord(item["offset"], item["key"], value))
         pages.is_whole = not data.get("hasMore") or not pages.records
 
+    async def pass_on(self, request: ClientRequest) -> Answer:
+        """Makes another process's call the direct way.
+
+        Raises:
+            PlatformUnavailableError: It got no answer.
+        """
+        timeout = request.time_left or CALL_TIMEOUT
+        body = request.body if request.method == "POST" else None
+        return await self._call(
+            request.method, request.target, body, timeout, is_direct=True
+        )
+
+    async def probe(self) -> None:
+        """Makes a small call the direct way.
+
+        Raises:
+            PlatformUnavailableError: It got no answer.
+        """
+        query = {"topic": OPERATOR_TOPIC, "part": 0, "from": 0, "maxKb": 1}
+        path = "/-/log-read?" + urlencode(query)
+        await self._call("GET", path, None, PROBE_TIMEOUT, is_direct=True)
+
     def close(self) -> None:
         """Closes idle connections."""
         self._pool.close()
 
     async def _call(
-        self, method: str, path: str, body: bytes | None, timeout: float
+        self,
+        method: str,
+        path: str,
+        body: bytes | None,
+        timeout: float,
+        *,
+        is_direct: bool = False,
     ) -> Answer:
+        relay = "" if is_direct else self.path.choose()
+        address = relay or self.address
         headers = [("Host", self.address)]
+        if relay:
+            headers.append((DEADLINE, str(int(timeout * 1000))))
         request = OutgoingRequest(method, path, headers, body)
         try:
             async with asyncio.timeout(timeout):
-                return await self._pool.exchange(self.address, request)
+                answer = await self._pool.exchange(address, request)
         except TimeoutError as error:
             # Open connections may all have gone silent while new ones work.
-            self._pool.drop_idle(self.address)
+            self._pool.drop_idle(address)
+            self.path.note_failure(relay)
             raise PlatformUnavailableError(
                 "the store gave no answer in time"
             ) from error
         except BuckthornstileError as error:
+            self.path.note_failure(relay)
             raise PlatformUnavailableError(
                 f"the store: {error.message}",
                 may_have_taken_effect=error.verdict is not Verdict.NOT_RUN,
             ) from error
+        if answer.status in TURNED_AWAY_STATUSES:
+            self.path.note_failure(relay)
+        else:
+            self.path.note_success(relay)
+        return answer
+
+
+def is_store_call(path: str) -> bool:
+    """Whether a path is that of a call to the store.
+
+    Example:
+        >>> is_store_call("/-/log-read")
+        True
+    """
+    return path.startswith(STORE_PATH)
 
 
 def encode_keyed_record(key: str, value: bytes) -> bytes:
