--- a/benchmarks/experiment.py
+++ b/benchmarks/experiment.py
@@ -7,7 +7,6 @@
 """
 
 import argparse
-import asyncio
 import json
 import sys
 import time
@@ -19,7 +18,7 @@
 
 import matplotlib
 
-from soak import DESK_FLAGS, ENGINE_FLAGS, Plan, SoakRun, Step
+from soak import DESK_FLAGS, ENGINE_FLAGS, Plan, Step, run_plan
 from tests.checker import CallSeen
 from tests.support import World
 
@@ -121,11 +120,8 @@
     )
     started = time.monotonic()
     with world:
-        run = SoakRun(world, plan, seconds=day.seconds)
-        with run.stack:
-            run.start()
-            problems = asyncio.run(run.run())
-            figures = world.store.call("GET", "/control/journal")
+        problems, _ = run_plan(world, plan, seconds=day.seconds)
+        figures = world.store.call("GET", "/control/journal")
     evidence = world.evidence
     loads = len(evidence.list_entries("order"))
     draw(evidence.calls, day, RESULTS / "experiment.png")
--- a/buckthornstile/entry/_announcer.py
+++ b/buckthornstile/entry/_announcer.py
@@ -63,6 +63,7 @@
         self.wall_clock = wall_clock
         self.list_fresh_versions = list_fresh_versions
         self.is_leaving = False
+        self.address = settings.peer_address
         self.presence = PresenceTable(clock)
         self.counter = UsageCounter(settings.usage_window)
         self.totals = UsageTotals(settings.usage_window)
@@ -113,7 +114,7 @@
             counts=self.counter.get_counts(now),
             versions=self.list_fresh_versions(),
             zone=self.settings.failure_domain,
-            address=self.settings.peer_address,
+            address=self.address,
             made_at=now,
         )
         try:
--- a/buckthornstile/entry/_daemon.py
+++ b/buckthornstile/entry/_daemon.py
@@ -160,6 +160,9 @@
             port = door.listen()
             if door.address == self.settings.api_address:
                 self.api_port = port
+            elif door.address == self.settings.peer_address:
+                host = door.address.rpartition(":")[0]
+                self.announcer.address = f"{host}:{port}"
         log_event(
             "process.start",
             name=self.name,
--- a/buckthornstile/settings/_entry.py
+++ b/buckthornstile/settings/_entry.py
@@ -45,8 +45,9 @@
     peer_address: str = Field(
         default="",
         description=(
-            "Where other entries pass requests about jobs on to; needed where more "
-            "than 12 entries run."
+            "Where other entries pass on requests about jobs, needed where more than "
+            "12 entries run, and calls to the store that they cannot reach; port 0 "
+            "takes a free one."
         ),
     )
     api_address: str = Field(
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -129,6 +129,7 @@
             "process": name,
             "failure_domain": domain,
             "api_address": f"{address}:{port}",
+            "peer_address": f"{address}:0",
             "store_address": store,
             "duty_address": store,
         }
