--- a/buckthornstile/api/_lot_attach.py
+++ b/buckthornstile/api/_lot_attach.py
@@ -42,7 +42,6 @@
     model: ModelName
     deadline: float
     missing: set[Slot] = field(default_factory=set)
-    delivered: int = 0
 
     def get_minimum(self, trainer_version: int) -> int:
         """The oldest version that a sample may have."""
--- a/buckthornstile/entry/_daemon.py
+++ b/buckthornstile/entry/_daemon.py
@@ -32,6 +32,7 @@
 from buckthornstile.entry._announcer import Announcer
 from buckthornstile.entry._door import Door, DoorProtocol
 from buckthornstile.entry._parts import (
+    Basis,
     make_control,
     make_job_store,
     make_upstream_side,
@@ -107,6 +108,15 @@
         self.store = StoreClient(settings.store_address, path=self.store_path)
         self.store_relay = StoreRelay(self.store, self.store_path)
         self.pool = ConnectionPool()
+        self.basis = Basis(
+            settings,
+            self.name,
+            self.store,
+            self.pool,
+            self.view,
+            self.clock,
+            self.read_wall,
+        )
         self.metrics = GatewayMetrics()
         self.announcer = Announcer(
             self.name,
@@ -208,12 +218,7 @@
 
     def _make_upstream_side(self) -> None:
         side = make_upstream_side(
-            self.settings,
-            self.name,
-            store=self.store,
-            pool=self.pool,
-            view=self.view,
-            clock=self.clock,
+            self.basis,
             list_possible=self.presence.list_possible,
             on_change=self._note_topology,
             count_run=self._count_run,
@@ -224,12 +229,8 @@
     def _make_jobs(self) -> None:
         self.followers = Followers(self.name, self.presence)
         self.jobs = make_job_store(
-            self.settings,
-            self.name,
-            store=self.store,
+            self.basis,
             followers=self.followers,
-            clock=self.clock,
-            wall_clock=self.read_wall,
             on_change=self._note_job,
             may_load=self._may_load_jobs,
         )
@@ -254,15 +255,7 @@
 
     def _make_control(self) -> None:
         self.control = make_control(
-            self.settings,
-            self.name,
-            store=self.store,
-            pool=self.pool,
-            view=self.view,
-            fleet=self.fleet,
-            announcer=self.announcer,
-            clock=self.clock,
-            wall_clock=self.read_wall,
+            self.basis, fleet=self.fleet, announcer=self.announcer
         )
 
     def _make_platform_doors(self) -> None:
--- a/buckthornstile/entry/_parts.py
+++ b/buckthornstile/entry/_parts.py
@@ -26,6 +26,23 @@
 from buckthornstile.topology import TopologyView
 
 
+@dataclass(frozen=True, slots=True)
+class Basis:
+    """What all parts of an entry share.
+
+    ``clock`` gives the time in seconds and goes on while suspended; ``wall_clock``
+    gives seconds since the epoch.
+    """
+
+    settings: EntrySettings
+    name: ProcessName
+    store: StoreClient
+    pool: ConnectionPool
+    view: TopologyView
+    clock: Callable[[], float]
+    wall_clock: Callable[[], float]
+
+
 @dataclass(frozen=True, slots=True)
 class UpstreamSide:
     """What knows upstreams and sends them requests."""
@@ -37,13 +54,8 @@
 
 
 def make_upstream_side(
-    settings: EntrySettings,
-    name: ProcessName,
+    basis: Basis,
     *,
-    store: StoreClient,
-    pool: ConnectionPool,
-    view: TopologyView,
-    clock: Callable[[], float],
     list_possible: Callable[[], list[ProcessName]],
     on_change: Callable[[], None],
     count_run: Callable[[AccountId, float], None],
@@ -51,107 +63,84 @@
     """Makes what knows upstreams and sends them requests.
 
     Args:
-        settings: The entry's settings.
-        name: The process's name.
-        store: The store.
-        pool: Connections to upstreams.
-        view: The topology in force.
-        clock: The time in seconds; it must go on while suspended.
+        basis: What all parts share.
         list_possible: Gives the entries that may be sending now.
         on_change: Called after the topology changed.
         count_run: Called when an upstream has run an account's request.
     """
+    settings, view, pool = basis.settings, basis.view, basis.pool
     fleet = Fleet(
         view,
-        clock,
+        basis.clock,
         count_entries=lambda: list(list_possible()),
-        name=name,
+        name=basis.name,
         overage=settings.cold_overage,
         slack=settings.cold_slack,
         default_cold_rate=settings.cold_rate,
     )
     watch = Watch(
-        store,
+        basis.store,
         view,
-        clock=clock,
+        clock=basis.clock,
         on_change=on_change,
         heartbeat=settings.heartbeat,
     )
-    sender = CallSender(
-        fleet, pool, random_source=random.Random(name), count_run=count_run
-    )
+    source = random.Random(basis.name)
+    sender = CallSender(fleet, pool, random_source=source, count_run=count_run)
     return UpstreamSide(fleet, watch, sender, StreamRelay(sender, fleet, pool))
 
 
 def make_job_store(
-    settings: EntrySettings,
-    name: ProcessName,
+    basis: Basis,
     *,
-    store: StoreClient,
     followers: Followers,
-    clock: Callable[[], float],
-    wall_clock: Callable[[], float],
     on_change: Callable[[Job], None],
     may_load: Callable[[], bool],
 ) -> JobStore:
     """Makes what keeps batch jobs in the store.
 
     Args:
-        settings: The entry's settings.
-        name: The process's name.
-        store: The store.
+        basis: What all parts share.
         followers: Which entries follow which partitions.
-        clock: The time in seconds; it must go on while suspended.
-        wall_clock: Seconds since the epoch.
         on_change: Called with a job after a record changed it.
         may_load: Tells whether partitions may be loaded now.
     """
+    settings = basis.settings
     return JobStore(
-        store,
+        basis.store,
         parts=settings.store_parts,
         max_record_bytes=settings.max_record_bytes,
         max_append_bytes=settings.max_append_bytes,
-        name=name,
-        clock=clock,
-        wall_clock=wall_clock,
+        name=basis.name,
+        clock=basis.clock,
+        wall_clock=basis.wall_clock,
         on_change=on_change,
         follows=followers.follows,
         may_load=may_load,
     )
 
 
-def make_control(
-    settings: EntrySettings,
-    name: ProcessName,
-    *,
-    store: StoreClient,
-    pool: ConnectionPool,
-    view: TopologyView,
-    fleet: Fleet,
-    announcer: Announcer,
-    clock: Callable[[], float],
-    wall_clock: Callable[[], float],
-) -> Control:
+def make_control(basis: Basis, *, fleet: Fleet, announcer: Announcer) -> Control:
     """Makes what performs the duties while the entry holds the lease.
 
     Args:
-        settings: The entry's settings.
-        name: The process's name.
-        store: The store.
-        pool: Connections to upstreams.
-        view: The topology in force.
+        basis: What all parts share.
         fleet: What was seen of upstreams.
         announcer: Tells other entries news, and sums what they counted.
-        clock: The time in seconds; it must go on while suspended.
-        wall_clock: Seconds since the epoch.
     """
-    keeper = LeaseKeeper(name, store=store, clock=clock, turn_bound=settings.turn_bound)
+    settings, view = basis.settings, basis.view
+    keeper = LeaseKeeper(
+        basis.name,
+        store=basis.store,
+        clock=basis.clock,
+        turn_bound=settings.turn_bound,
+    )
     orders = LoadOrders(
         settings.process,
         keeper,
         view=view,
-        planner=LoadPlanner(view, clock=clock, is_suspect=fleet.is_suspect),
-        pool=pool,
+        planner=LoadPlanner(view, clock=basis.clock, is_suspect=fleet.is_suspect),
+        pool=basis.pool,
         on_news=announcer.hurry,
         note_failure=fleet.note_failure,
     )
@@ -162,7 +151,7 @@
             keeper,
             totals=announcer.totals,
             client=DutyClient(settings.duty_address),
-            wall_clock=wall_clock,
+            wall_clock=basis.wall_clock,
             due=settings.usage_due,
             list_counting=announcer.presence.list_possible,
         )
