--- a/buckthornstile/api/_configuration.py
+++ b/buckthornstile/api/_configuration.py
@@ -6,7 +6,6 @@
 
 from buckthornstile.base import KeyId, Offset, ServiceName
 from buckthornstile.configuration import (
-    CONFIGURATION_TOPIC,
     Configuration,
     ConfigurationFold,
     OpenRoute,
@@ -14,7 +13,13 @@
 )
 from buckthornstile.gateway import KEY_BOUND_SHARE
 from buckthornstile.logs import log_event
-from buckthornstile.platform import StoreClient, StoredRecord, encode_keyed_record
+from buckthornstile.platform import (
+    CONFIGURATION_TOPIC,
+    TRAINER_TOPIC,
+    StoreClient,
+    StoredRecord,
+    encode_keyed_record,
+)
 from buckthornstile.tails import Tail
 from buckthornstile.topology import (
     OWN_HOST,
@@ -24,7 +29,6 @@
     TopologyView,
 )
 
-VERSION_TOPIC = "keyed.versions"
 TOPIC_WAIT = 0.4
 """Seconds that a read is held: bounds how old a configuration can be unknown."""
 MAX_ATTEMPTS = 3
@@ -76,7 +80,7 @@
         )
         self.versions = Tail(
             store,
-            VERSION_TOPIC,
+            TRAINER_TOPIC,
             0,
             clock=clock,
             wait=TOPIC_WAIT,
@@ -124,7 +128,7 @@
         """
         value = json.dumps([model, version]).encode()
         record = encode_keyed_record(trainer, value)
-        await self.store.append(VERSION_TOPIC, 0, [record])
+        await self.store.append(TRAINER_TOPIC, 0, [record])
 
     async def run(self) -> None:
         """Follows both topics until cancelled."""
--- a/buckthornstile/commands/_submit.py
+++ b/buckthornstile/commands/_submit.py
@@ -12,7 +12,6 @@
     Revision,
 )
 from buckthornstile.configuration import (
-    CONFIGURATION_TOPIC,
     Configuration,
     ConfigurationChange,
     ConfigurationFold,
@@ -20,6 +19,7 @@
     encode_change,
 )
 from buckthornstile.platform import (
+    CONFIGURATION_TOPIC,
     AppendRefusedError,
     StoreClient,
     encode_keyed_record,
--- a/buckthornstile/commands/tests/stores.py
+++ b/buckthornstile/commands/tests/stores.py
@@ -2,11 +2,11 @@
 
 from buckthornstile.base import Offset, PlatformUnavailableError
 from buckthornstile.configuration import (
-    CONFIGURATION_TOPIC,
     ConfigurationFold,
     encode_change,
 )
 from buckthornstile.platform import (
+    CONFIGURATION_TOPIC,
     AppendRefusedError,
     LogSlice,
     StoredRecord,
--- a/buckthornstile/configuration/__init__.py
+++ b/buckthornstile/configuration/__init__.py
@@ -21,7 +21,6 @@
     make_configuration,
 )
 from buckthornstile.configuration._records import (
-    CONFIGURATION_TOPIC,
     ChangeNote,
     KeyedValue,
     encode_change,
@@ -30,7 +29,6 @@
 __all__ = [
     "ANY_ACCOUNT",
     "ANY_TRAINER",
-    "CONFIGURATION_TOPIC",
     "EMPTY_CONFIGURATION",
     "Account",
     "ChangeError",
--- a/buckthornstile/configuration/_records.py
+++ b/buckthornstile/configuration/_records.py
@@ -17,7 +17,6 @@
     ItemName,
 )
 
-CONFIGURATION_TOPIC = "keyed.configuration"
 KEPT_CHANGES = 64
 """Notes of changes that are kept for the history and for retries."""
 ITEM_PREFIX = "item/"
--- a/buckthornstile/platform/__init__.py
+++ b/buckthornstile/platform/__init__.py
@@ -7,9 +7,11 @@
 from buckthornstile.platform._jobs import decode_job, render_results
 from buckthornstile.platform._names import (
     CONFIGURATION_KEY,
+    CONFIGURATION_TOPIC,
     EVACUATION_PREFIX,
     JOB_TOPIC,
     OPERATOR_TOPIC,
+    TRAINER_TOPIC,
     UPSTREAM_TOPIC,
     VERSION_PREFIX,
 )
@@ -57,7 +59,9 @@
 __all__ = [
     "CONFIGURATION_KEY",
     "EVACUATION_PREFIX",
+    "CONFIGURATION_TOPIC",
     "JOB_TOPIC",
+    "TRAINER_TOPIC",
     "OPERATOR_TOPIC",
     "SETTINGS_VARIABLE",
     "UPSTREAM_TOPIC",
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -14,7 +14,6 @@
 from urllib.request import ProxyHandler, Request, build_opener
 
 from buckthornstile.configuration import (
-    CONFIGURATION_TOPIC,
     Account,
     ConfigurationChange,
     ConfigurationItem,
@@ -23,6 +22,7 @@
     encode_change,
     hash_key,
 )
+from buckthornstile.platform import CONFIGURATION_TOPIC
 from standins.launch import Bench, BenchProcess
 
 WAIT_SECONDS = 20.0
