Close connections that begin to wait for a request after the door is shut

A connection that is accepted in the same turn of the event loop as idle ones are closed begins to wait for its request a turn later, so it was not among them; it was read while the last counts were stored. Ruled out: requests whose head was read before (they count as open and are waited for); kept connections (each is among the idle ones from its answer on). Change: a door that is shut closes a connection as soon as it waits for a request.

--- a/buckthornstile/entry/_door.py
+++ b/buckthornstile/entry/_door.py
@@ -80,6 +80,7 @@
         self.max_body_bytes = MAX_BODY_BYTES
         self.max_header_bytes = MAX_HEADER_BYTES
         self.is_closing = False
+        self.is_shut = False
         self._idle: dict[object, HTTPConnection] = {}
         self._begun: set[_Message] = set()
         self._server = HTTPServer(
@@ -108,7 +109,8 @@
         return len(self._begun)
 
     def close_idle(self) -> None:
-        """Stops listening, and closes the connections without a request."""
+        """Reads no further request: closes all connections without one."""
+        self.is_shut = True
         self._server.stop()
         for connection in list(self._idle.values()):
             connection.close()  # type: ignore[attr-defined]
@@ -123,8 +125,11 @@
     def start_request(
         self, server_conn: object, request_conn: HTTPConnection
     ) -> HTTPMessageDelegate:
-        # Called when the connection begins to wait for a request.
+        # Called when the connection begins to wait for a request: one that was just
+        # accepted does so an iteration of the event loop later.
         self._idle[server_conn] = request_conn
+        if self.is_shut:
+            request_conn.close()  # type: ignore[attr-defined]
         return _Message(self, server_conn, request_conn)
 
     def on_close(self, server_conn: object) -> None:
--- a/buckthornstile/entry/tests/test_stop.py
+++ b/buckthornstile/entry/tests/test_stop.py
@@ -1,8 +1,12 @@
 """A planned stop of a whole entry: what is read is answered, the rest is not run."""
 
 import asyncio
+from typing import Any
 from unittest.mock import patch
 
+import pytest
+from tornado.iostream import IOStream
+
 from buckthornstile.base import BuckthornstileError
 from buckthornstile.entry import _daemon
 from buckthornstile.entry.tests.world import DESK, HOST, KEY, World, in_world
@@ -61,6 +65,27 @@
     pool.close()
 
 
+@in_world
+async def test_connection_that_crosses_the_end_is_closed_unread(world: World) -> None:
+    """It is accepted before the idle ones are closed, and waits after that."""
+    worker = world.add_worker("w1", DESK)
+    entry = await world.add_entry("e1")
+    door, pool = entry.client_door, ConnectionPool()
+    handle_stream = door._server.handle_stream
+
+    def handle_late(stream: IOStream, address: Any) -> None:
+        handle_stream(stream, address)
+        door.close_idle()
+
+    with (
+        patch.object(door._server, "handle_stream", handle_late),
+        pytest.raises(BuckthornstileError),
+    ):
+        await pool.exchange(entry.settings.client_address, make_request("r1"))
+    assert worker.list_runs() == []
+    pool.close()
+
+
 @in_world
 async def test_open_request_is_answered_before_the_end(world: World) -> None:
     world.add_worker("w1", DESK, work_seconds=1.0)
