Give each test deployment loopback addresses of its own

All deployments counted the same addresses, so another one's entry could have been given that port as a free one, which the port between entries made likelier. Change: the network part of the addresses comes from the process's number.

--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import os
 import secrets
 import struct
 import time
@@ -84,9 +85,14 @@
         return [entry.stop() for entry in running]
 
     def take_address(self) -> str:
-        """Gives the next loopback address."""
+        """Gives the next loopback address, one that no other process here uses.
+
+        An entry that starts again at its port must not find it taken by another
+        deployment's entry that asked for any free one.
+        """
         self._addresses += 1
-        return f"127.0.{self._addresses // 250}.{self._addresses % 250 + 1}"
+        network = 1 + os.getpid() % 250
+        return f"127.{network}.{self._addresses // 250}.{self._addresses % 250 + 1}"
 
     # Processes
 
