--- a/soak/_steps.py
+++ b/soak/_steps.py
@@ -30,6 +30,7 @@
         self.relays = deployment.relays
         self.seconds = seconds
         self.steps: list[str] = []
+        self.restarts = asyncio.Lock()
 
     async def run(self) -> None:
         """Carries out the plan, then heals everything."""
@@ -66,8 +67,10 @@
             return
         await asyncio.to_thread(end, entry)
         await asyncio.sleep(step.seconds)
-        if self.world.entries[name] is entry:
-            await asyncio.to_thread(self.deployment.start_entry, name, again=True)
+        # Two steps may have ended the same entry; the first one starts it again.
+        async with self.restarts:
+            if self.world.entries[name] is entry:
+                await asyncio.to_thread(self.deployment.start_entry, name, again=True)
 
     async def _do_pause(self, step: Step) -> None:
         await _pause(self.world.entries[self._choose_entry(step)], step.seconds)
