Bound the memory that upstreams' responses take in a process

A stream's parser kept an event without end, and a malformed stream was read on until its deadline. Change: max_response_bytes and max_buffered_bytes (an eighth of the VM's memory on the platform) are checked settings; beyond them a body is aborted, the largest first, its connection reset, and the caller gets upstream.answer_too_large with the verdict may_have_run; the failure counts in the upstream's ejection. The store's and the duties' responses have limits of their own. Events are limited to 1 MB, and a malformed stream is closed at once. Connections read 16 KB at a time, so that many of them leave the event loop sooner.

--- a/buckthornstile/base/_errors.py
+++ b/buckthornstile/base/_errors.py
@@ -44,6 +44,7 @@
     # Upstreams
     UPSTREAM_FAILED = "upstream.failed"
     ANSWER_TRUNCATED = "upstream.answer_truncated"
+    ANSWER_TOO_LARGE = "upstream.answer_too_large"
     # The response belongs to another request.
     ANSWER_CROSSED = "upstream.answer_crossed"
     VERSION_UNVERIFIABLE = "upstream.version_unverifiable"
--- a/buckthornstile/entry/_daemon.py
+++ b/buckthornstile/entry/_daemon.py
@@ -49,7 +49,7 @@
     StoreProxySelector,
     make_error_response,
 )
-from buckthornstile.http_client import ConnectionPool
+from buckthornstile.http_client import ConnectionPool, ResponseLimit
 from buckthornstile.jobs import Job
 from buckthornstile.logs import EventLogHandler, log_event, set_up_event_logging
 from buckthornstile.messages import ClientRequest, Response, StreamingResponse
@@ -111,7 +111,12 @@
             settings.store_address, proxy_selector=self.proxy_selector
         )
         self.store_proxy = StoreProxy(self.store, self.proxy_selector)
-        self.pool = ConnectionPool()
+        self.pool = ConnectionPool(
+            limit=ResponseLimit(
+                max_response_bytes=settings.max_response_bytes,
+                max_total_bytes=settings.max_buffered_bytes,
+            )
+        )
         self.resources = SharedResources(
             settings,
             self.name,
--- a/buckthornstile/gateway/_stream_proxy.py
+++ b/buckthornstile/gateway/_stream_proxy.py
@@ -190,6 +190,8 @@
             events = self.parser.feed(chunk)
         except ValueError:
             self.is_malformed = True
+            # Otherwise the rest of the response, perhaps without end, would be read.
+            self.task.cancel()
             return None
         return self._enqueue(events) if events else None
 
--- a/buckthornstile/http_client/__init__.py
+++ b/buckthornstile/http_client/__init__.py
@@ -6,5 +6,12 @@
     HTTPResponse,
     is_reusable,
 )
+from buckthornstile.http_client._response_limit import ResponseLimit
 
-__all__ = ["HTTPResponse", "ConnectionPool", "HTTPRequest", "is_reusable"]
+__all__ = [
+    "HTTPResponse",
+    "ConnectionPool",
+    "HTTPRequest",
+    "ResponseLimit",
+    "is_reusable",
+]
--- a/buckthornstile/http_client/_connection_pool.py
+++ b/buckthornstile/http_client/_connection_pool.py
@@ -18,6 +18,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from buckthornstile.base import BuckthornstileError, ErrorCode, Verdict
+from buckthornstile.http_client._response_limit import ResponseLimit
 
 CONNECT_TIMEOUT = 0.3
 """Seconds for opening a connection. The kernel retransmits a lost SYN packet only after
@@ -29,9 +30,12 @@
 IDLE_MARGIN = 0.5
 """Seconds before the peer's idle timeout from which a connection is not reused."""
 MAX_HEADER_BYTES = 64 << 10
-CHUNK_BYTES = 64 << 10
+CHUNK_BYTES = 16 << 10
 """Maximum number of bytes that are read from a connection at once."""
-MAX_RESPONSE_BYTES = 64 << 20
+MAX_STREAMED_BYTES = 64 << 20
+"""Maximum size of a body that is passed on in chunks and not collected."""
+MAX_READ_BUFFER_BYTES = 256 << 10
+"""Maximum number of bytes that a connection buffers before they are parsed."""
 FIRST_FINAL_STATUS = 200
 """Responses with a lower status are informational: the final response follows them."""
 NO_LINGER = struct.pack("ii", 1, 0)
@@ -79,8 +83,16 @@
 
 
 class _ResponseReader(HTTPMessageDelegate):
-    def __init__(self, request: HTTPRequest, stream: IOStream, is_reused: bool) -> None:
+    def __init__(
+        self,
+        request: HTTPRequest,
+        stream: IOStream,
+        limit: ResponseLimit,
+        *,
+        is_reused: bool,
+    ) -> None:
         self.request = request
+        self.limit = limit
         self.stream = stream
         self.is_reused = is_reused
         self.response: HTTPResponse | None = None
@@ -88,6 +100,7 @@
         self.on_data: OnData | None = None
         self.is_finished = False
         self.is_mismatched = False
+        self.abort_reason = ""
         self.has_declared_length = False
         self.keeps_alive = False
 
@@ -117,17 +130,33 @@
             and headers.get("Connection", "").lower() != "close"
         )
         self.response = HTTPResponse(start_line.code, headers)
+        declared_length = headers.get("Content-Length", "")
+        if (
+            self.on_data is None
+            and declared_length.isdecimal()
+            and int(declared_length) > self.limit.max_response_bytes
+        ):
+            self.abort(f"the response declares a length of {declared_length} bytes")
+            return
         if self.on_headers is not None:
             self.on_headers(self.response)
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
-        if self.response is None:
+        if self.response is None or self.abort_reason:
             return None
         if self.on_data is not None:
             return self.on_data(chunk)
         self.response.body += chunk
+        self.limit.grow(self, len(chunk))
         return None
 
+    def abort(self, reason: str) -> None:
+        """Discards the response and resets the connection."""
+        self.abort_reason = reason
+        if self.response is not None:
+            self.response.body = bytearray()
+        _reset(self.stream)
+
     def finish(self) -> None:
         self.is_finished = True
 
@@ -140,14 +169,18 @@
 
     Args:
         max_idle_per_peer: Maximum number of idle connections kept for each peer.
+        limit: Limits the bodies of responses; pools may share it.
 
     Example:
         >>> ConnectionPool().max_idle_per_peer
         24
     """
 
-    def __init__(self, *, max_idle_per_peer: int = 24) -> None:
+    def __init__(
+        self, *, max_idle_per_peer: int = 24, limit: ResponseLimit | None = None
+    ) -> None:
         self.max_idle_per_peer = max_idle_per_peer
+        self.limit = limit or ResponseLimit()
         self._idle: dict[str, list[tuple[IOStream, float]]] = {}
 
     async def send(
@@ -186,7 +219,7 @@
         is_reused = stream is not None
         if stream is None:
             stream = await _connect(address, connect_timeout)
-        reader = _ResponseReader(request, stream, is_reused)
+        reader = _ResponseReader(request, stream, self.limit, is_reused=is_reused)
         reader.on_headers, reader.on_data = on_headers, on_data
         is_kept = False
         try:
@@ -197,6 +230,7 @@
                 self._keep_idle(address, stream, response.headers)
             return response
         finally:
+            self.limit.release(reader)
             if not is_kept:
                 _reset(stream)
 
@@ -238,7 +272,11 @@
     stream: IOStream | None = None
     try:
         family = socket.AF_INET6 if ipaddress.ip_address(host).version == 6 else None
-        stream = IOStream(socket.socket(family or socket.AF_INET))
+        stream = IOStream(
+            socket.socket(family or socket.AF_INET),
+            max_buffer_size=MAX_READ_BUFFER_BYTES,
+            read_chunk_size=CHUNK_BYTES,
+        )
         stream.set_nodelay(True)
         stream.socket.setsockopt(
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
@@ -274,7 +312,8 @@
     parameters = HTTP1ConnectionParameters(
         chunk_size=CHUNK_BYTES,
         max_header_size=MAX_HEADER_BYTES,
-        max_body_size=MAX_RESPONSE_BYTES,
+        # A collected body has a lower limit, which aborts it with an error of its own.
+        max_body_size=max(MAX_STREAMED_BYTES, 2 * reader.limit.max_response_bytes),
     )
     connection = HTTP1Connection(stream, True, parameters)
     headers = HTTPHeaders()
@@ -318,6 +357,8 @@
             ErrorCode.ANSWER_CROSSED,
             "the response belongs to another request",
         )
+    elif reader.abort_reason:
+        code, message = ErrorCode.ANSWER_TOO_LARGE, reader.abort_reason
     elif response is None:
         code, message = (
             ErrorCode.UPSTREAM_FAILED,
--- a/buckthornstile/platform/_duties.py
+++ b/buckthornstile/platform/_duties.py
@@ -5,9 +5,11 @@
 from collections.abc import Mapping
 
 from buckthornstile.base import BuckthornstileError, PlatformUnavailableError
-from buckthornstile.http_client import ConnectionPool, HTTPRequest
+from buckthornstile.http_client import ConnectionPool, HTTPRequest, ResponseLimit
 from buckthornstile.platform._protocol_names import DUTY_HOLDER_HEADER, DUTY_TERM_HEADER
 
+MAX_REPORT_RESPONSE_BYTES = 64 << 10
+
 
 class DutyClient:
     """Sends reports to the platform on behalf of a duty's holder.
@@ -22,7 +24,10 @@
 
     def __init__(self, address: str) -> None:
         self.address = address
-        self._pool = ConnectionPool(max_idle_per_peer=2)
+        self._pool = ConnectionPool(
+            max_idle_per_peer=2,
+            limit=ResponseLimit(max_response_bytes=MAX_REPORT_RESPONSE_BYTES),
+        )
 
     async def report_usage(
         self,
--- a/buckthornstile/platform/_node_settings.py
+++ b/buckthornstile/platform/_node_settings.py
@@ -11,6 +11,13 @@
 SETTINGS_VARIABLE = "BUCKTHORNSTILE_CONFIG"
 """Environment variable that holds the path of the settings file."""
 
+DEFAULT_MEMORY_MB = 256
+BUFFERED_MEMORY_DIVISOR = 8
+"""The bodies of responses may take this part of the memory: a body is copied when it
+is decoded, and connections have buffers of their own."""
+MIN_BUFFERED_BYTES = 4 << 20
+MAX_RESPONSE_BYTES = 8 << 20
+
 
 def read_node_settings(path: str | None = None) -> EntrySettings:
     """Reads and checks the settings file.
@@ -48,6 +55,8 @@
     listen = data.get("listen") or {}
     store = data["platform"]
     cloud = data.get("cloud") or {}
+    memory = int((data.get("limits") or {}).get("memoryMb", DEFAULT_MEMORY_MB)) << 20
+    max_buffered_bytes = max(MIN_BUFFERED_BYTES, memory // BUFFERED_MEMORY_DIVISOR)
     host = data.get("ip", "127.0.0.1")
     # The first and the last port of the internal range.
     ports = data.get("internalPorts") or [0]
@@ -63,6 +72,8 @@
             "store_address": store["address"],
             "store_parts": int(store.get("parts", 1)),
             "max_record_bytes": int(store.get("recordBytes", 256 << 10)),
+            "max_buffered_bytes": max_buffered_bytes,
+            "max_response_bytes": min(MAX_RESPONSE_BYTES, max_buffered_bytes),
             "max_append_bytes": int(store.get("callBytes", 2 << 20)),
             "duty_address": cloud.get("address", ""),
             "heartbeat": data.get("heartbeatMs", 1000) / 1000,
--- a/buckthornstile/platform/_store.py
+++ b/buckthornstile/platform/_store.py
@@ -15,7 +15,12 @@
     PlatformUnavailableError,
     Verdict,
 )
-from buckthornstile.http_client import ConnectionPool, HTTPRequest, HTTPResponse
+from buckthornstile.http_client import (
+    ConnectionPool,
+    HTTPRequest,
+    HTTPResponse,
+    ResponseLimit,
+)
 from buckthornstile.messages import ClientRequest
 from buckthornstile.platform._protocol_names import DEADLINE_HEADER, OPERATOR_TOPIC
 
@@ -27,6 +32,10 @@
 """Timeout in seconds of a call that the store does not hold as a long poll."""
 MAX_READ_KILOBYTES = 1024
 """Maximum size of the response that a read requests, in kilobytes."""
+MAX_RESPONSE_BYTES = 4 << 20
+"""Maximum size of a response; a read may exceed the requested size by one record."""
+MAX_BUFFERED_BYTES = 16 << 20
+"""Maximum size of all responses that are read at a time."""
 PROBE_TIMEOUT = 0.5
 """Timeout in seconds of a call that only tests whether the store is reachable."""
 UNAVAILABLE_STATUSES = (429, 503, 507)
@@ -171,7 +180,13 @@
     ) -> None:
         self.address = address
         self.proxy_selector = proxy_selector or NoProxy()
-        self._pool = ConnectionPool(max_idle_per_peer=16)
+        self._pool = ConnectionPool(
+            max_idle_per_peer=16,
+            limit=ResponseLimit(
+                max_response_bytes=MAX_RESPONSE_BYTES,
+                max_total_bytes=MAX_BUFFERED_BYTES,
+            ),
+        )
 
     async def append(
         self,
--- a/buckthornstile/platform/_upstreams.py
+++ b/buckthornstile/platform/_upstreams.py
@@ -168,6 +168,9 @@
         ) from error
 
 
+MAX_EVENT_BYTES = 1 << 20
+
+
 class UpstreamEventParser:
     r"""Parses a stream of events incrementally, as its bytes arrive.
 
@@ -193,10 +196,13 @@
             The events that the bytes complete, each with its encoded form.
 
         Raises:
-            ValueError: A block of the stream is not a valid event.
+            ValueError: A block of the stream is not a valid event, or is longer than
+                ``MAX_EVENT_BYTES``.
         """
         blocks = (self._buffer + chunk).split(b"\n\n")
         self._buffer = blocks.pop()
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            raise ValueError(f"an event is longer than {MAX_EVENT_BYTES} bytes")
         events = ((self._parse_block(block), block) for block in blocks)
         return [(event, block) for event, block in events if event is not None]
 
--- a/buckthornstile/settings/_entry.py
+++ b/buckthornstile/settings/_entry.py
@@ -18,6 +18,7 @@
 LOWER_BOUND_SETTINGS = {
     "max_timeout": ("default_timeout", "s"),
     "max_append_bytes": ("max_record_bytes", "bytes"),
+    "max_buffered_bytes": ("max_response_bytes", "bytes"),
     "usage_due": ("usage_window", "s"),
 }
 """Settings with another setting as their lower bound, and the unit of both."""
@@ -150,6 +151,21 @@
     max_body_bytes: int = make_number_field(
         4 << 20, 1024, 256 << 20, "bytes", "Maximum size of the body of a call or lot."
     )
+    max_response_bytes: int = make_number_field(
+        8 << 20,
+        1024,
+        256 << 20,
+        "bytes",
+        "Maximum size of an upstream's response that is not a stream.",
+    )
+    max_buffered_bytes: int = make_number_field(
+        64 << 20,
+        4096,
+        64 << 30,
+        "bytes",
+        "Maximum size of all upstreams' responses that are read at a time; beyond it, "
+        "the largest are aborted.",
+    )
     max_open_calls: int = make_number_field(
         2048, 1, 1_000_000, "calls", "Maximum number of calls open or queued at a time."
     )
@@ -188,7 +204,9 @@
             raise ValueError("must be IP:PORT, such as 127.0.0.1:7400")
         return check_address(value)
 
-    @field_validator("max_timeout", "max_append_bytes", "usage_due")
+    @field_validator(
+        "max_timeout", "max_append_bytes", "max_buffered_bytes", "usage_due"
+    )
     @classmethod
     def _check_lower_bound(cls, value: float, info: ValidationInfo) -> float:
         other, unit = LOWER_BOUND_SETTINGS[str(info.field_name)]
