Treat lightly loaded upstreams as equal and prefer an open connection

Cause: the choice followed each difference in load and latency, so that an entry used all upstreams of a service in turn and opened a connection to each. Change: upstreams below half of their slots count as equal unless one is slow; among these an idle connection goes first, then the load. Answers the load of many entries with few calls each, and bursts of scoring calls. Tests: three of the decision alone.

--- a/buckthornstile/base/_errors.py
+++ b/buckthornstile/base/_errors.py
@@ -129,6 +129,7 @@
     ErrorCode.DEADLINE_PASSED: 504,
     ErrorCode.UPSTREAM_FAILED: 502,
     ErrorCode.ANSWER_TRUNCATED: 502,
+    ErrorCode.ANSWER_TOO_LARGE: 502,
     ErrorCode.ANSWER_CROSSED: 502,
     ErrorCode.CONNECTION_LOST: 502,
     ErrorCode.INTERNAL: 500,
--- a/buckthornstile/entry/_components.py
+++ b/buckthornstile/entry/_components.py
@@ -78,6 +78,7 @@
         cold_rate_factor=settings.cold_overage,
         cold_rate_slack=settings.cold_slack,
         default_cold_rate=settings.cold_rate,
+        has_idle_connection=resources.pool.has_idle,
     )
     topology_watcher = TopologyWatcher(
         resources.store,
--- a/buckthornstile/entry/tests/test_load_balancer.py
+++ b/buckthornstile/entry/tests/test_load_balancer.py
@@ -178,6 +178,46 @@
     assert setup.balancer.pick("desk").id == "w2"
 
 
+def test_open_connection_is_used_while_load_is_light() -> None:
+    """Few calls, far apart, as when many entries share a small load."""
+    setup = BalancerSetup(upstreams=8)
+    used: set[str] = set()
+    setup.balancer.has_idle_connection = used.__contains__
+    for _ in range(50):
+        setup.now += 0.3
+        upstream = setup.balancer.pick("desk")
+        setup.balancer.record_latency(upstream, random.Random(len(used)).random())
+        used.add(upstream.address)
+    assert len(used) == 1
+
+
+def test_burst_is_spread_before_any_upstream_is_half_full() -> None:
+    """An open connection saves less time than a queue costs."""
+    setup = BalancerSetup(upstreams=4)
+    first = setup.get_upstream("w0")
+    setup.balancer.has_idle_connection = first.address.__eq__
+    picked = []
+    for _ in range(12):
+        upstream = setup.balancer.pick("desk")
+        setup.balancer.acquire_permit(upstream)
+        picked.append(upstream.id)
+    assert picked[:2] == ["w0", "w0"]
+    assert {picked.count(f"w{number}") for number in range(4)} == {3}
+
+
+def test_open_connection_to_a_slow_or_failed_upstream_is_not_preferred() -> None:
+    setup = BalancerSetup()
+    slow = setup.get_upstream("w0")
+    setup.balancer.has_idle_connection = slow.address.__eq__
+    for name, latency in (("w0", 0.3), ("w1", 0.03), ("w2", 0.03)):
+        setup.balancer.record_latency(setup.get_upstream(name), latency)
+    assert setup.balancer.pick("desk").id != "w0"
+    setup = BalancerSetup()
+    setup.balancer.has_idle_connection = slow.address.__eq__
+    setup.balancer.record_failure(setup.get_upstream("w0"))
+    assert setup.balancer.pick("desk").id != "w0"
+
+
 def test_slow_upstream_gets_fewer_requests() -> None:
     setup = BalancerSetup()
     for name, latency in (("w0", 0.3), ("w1", 0.03), ("w2", 0.03)):
--- a/buckthornstile/gateway/_load_balancer.py
+++ b/buckthornstile/gateway/_load_balancer.py
@@ -27,6 +27,10 @@
 """Number of requests by which a preferred upstream may exceed the best upstream's load.
 
 Beyond that, the longer queue costs more time than the cached prompt saves."""
+LIGHT_LOAD = 0.5
+"""Share of an upstream's slots up to which one more request costs no time. Upstreams
+below it are equally good, unless one of them is slow, so that an entry keeps using
+those that it has open connections to."""
 COLD_WINDOW = 1.05
 """Seconds for which a request at a cold upstream counts after it is known to have
 arrived: one second and a margin for differences between clocks."""
@@ -132,6 +136,7 @@
         cold_rate_slack: Requests per second that are added to that limit.
         default_cold_rate: Requests per second that a cold upstream can serve if its
             service is not configured; 0 means no limit.
+        has_idle_connection: Whether an open connection to an address is not in use.
     """
 
     def __init__(
@@ -144,7 +149,9 @@
         cold_rate_factor: float = 1.0,
         cold_rate_slack: float = 0.0,
         default_cold_rate: float = 0.0,
+        has_idle_connection: Callable[[str], bool] = lambda address: False,
     ) -> None:
+        self.has_idle_connection = has_idle_connection
         self.default_cold_rate = default_cold_rate
         self.view = view
         self.clock = clock
@@ -272,7 +279,7 @@
         now: float,
         median: float | None,
         avoided: Collection[UpstreamId],
-    ) -> tuple[int, float, int]:
+    ) -> tuple[int, float, bool, float, int]:
         """Returns a sort key; the upstream with the lowest key is the best choice."""
         stats = self.get_stats(upstream)
         penalty = 2 * (upstream.id in avoided) + (stats.ejected_until > now)
@@ -281,7 +288,11 @@
         slowness = max(1.0, latency / median) if latency and median else 1.0
         load = (self._estimate_load(upstream, now) + 1) / max(1, upstream.slots)
         tie_breaker = compute_rendezvous_score(self.name, upstream.id)
-        return (penalty, round(load * slowness, 3), tie_breaker)
+        cost = round(load * slowness, 3)
+        is_slow = slowness >= SLOW_LATENCY_RATIO
+        noticeable_cost = cost if is_slow else max(LIGHT_LOAD, cost)
+        needs_connection = not self.has_idle_connection(upstream.address)
+        return (penalty, noticeable_cost, needs_connection, cost, tie_breaker)
 
     def _estimate_load(self, upstream: Upstream, now: float) -> float:
         """Returns the estimated number of requests that are open at an upstream."""
--- a/buckthornstile/http_client/_connection_pool.py
+++ b/buckthornstile/http_client/_connection_pool.py
@@ -234,6 +234,14 @@
             if not is_kept:
                 _reset(stream)
 
+    def has_idle(self, address: str) -> bool:
+        """Whether a request to a peer would probably reuse a connection."""
+        idle = self._idle.get(address)
+        if not idle:
+            return False
+        stream, expires_at = idle[-1]
+        return asyncio.get_running_loop().time() < expires_at and not stream.closed()
+
     def close_idle(self, address: str) -> None:
         """Closes the idle connections to a peer."""
         for stream, _ in self._idle.pop(address, ()):
--- a/standins/tests/test_standins.py
+++ b/standins/tests/test_standins.py
@@ -209,3 +209,17 @@
         worker.terminate()
         assert wait_for(lambda items: not items)
         assert worker.stop() == 0
+
+
+def test_process_that_does_not_start_in_time_logs_where_it_is():
+    """A start that hangs can be explained afterwards."""
+    with ProcessManager() as process_manager, pytest.raises(RuntimeError) as caught:
+        process_manager.start(
+            "timeit",
+            "-n1",
+            "import time; time.sleep(60)",
+            accepts_address=False,
+            timeout=1.0,
+        )
+    assert "did not start within 1.0 s" in str(caught.value)
+    assert "Current thread" in str(caught.value)
