Survive header values that int() rejects

Cause: str.isdigit() accepts characters such as the superscript two, and int() refuses texts of over 4,300 digits. A client's Last-Event-Id of that kind failed in the task of its request before the handler: it got no answer on an open connection. A worker's Keep-Alive of that kind made a complete response an unexpected error, and in a batch job an unexpected error of one run ended the task group of all its items. Change: base.parse_integer reads all integers from outside; a request that cannot be decoded closes its connection; an unexpected error while a response is read becomes upstream.failed with the verdict may_have_run; a run's unexpected error is logged and the item runs again.

--- a/buckthornstile/base/__init__.py
+++ b/buckthornstile/base/__init__.py
@@ -1,6 +1,6 @@
 """Identifiers, verdicts, error codes and checks that all packages use."""
 
-from buckthornstile.base._checks import check_name, check_range
+from buckthornstile.base._checks import check_name, check_range, parse_integer
 from buckthornstile.base._errors import (
     HTTP_STATUS,
     BuckthornstileError,
@@ -72,5 +72,6 @@
     "check_range",
     "get_http_status",
     "make_request_id",
+    "parse_integer",
     "parse_request_id",
 ]
--- a/buckthornstile/base/_checks.py
+++ b/buckthornstile/base/_checks.py
@@ -1,5 +1,8 @@
 """Checks of parameters, with the name and the allowed range in the error text."""
 
+MAX_INTEGER_DIGITS = 18
+"""Longest integer in a message; int() raises ValueError from a few thousand digits."""
+
 
 def check_range(
     name: str,
@@ -63,3 +66,18 @@
         raise ValueError(
             f"{name} is {value!r}; it must be printable, without spaces or slashes"
         )
+
+
+def parse_integer(value: str | None) -> int | None:
+    """Returns a text as a non-negative integer, or None if it is not one.
+
+    Args:
+        value: Text from outside the process, or None.
+
+    Example:
+        >>> parse_integer("7"), parse_integer("\u00b2"), parse_integer("9" * 5000)
+        (7, None, None)
+    """
+    if not value or len(value) > MAX_INTEGER_DIGITS or not value.isascii():
+        return None
+    return int(value) if value.isdigit() else None
--- a/buckthornstile/entry/_http_listener.py
+++ b/buckthornstile/entry/_http_listener.py
@@ -20,7 +20,7 @@
 from tornado.iostream import StreamClosedError
 from tornado.netutil import bind_sockets
 
-from buckthornstile.base import BuckthornstileError, ErrorCode, Verdict
+from buckthornstile.base import BuckthornstileError, ErrorCode, Verdict, parse_integer
 from buckthornstile.logs import log_event
 from buckthornstile.messages import Headers, Response, StreamingResponse
 
@@ -176,8 +176,8 @@
         self.listener.on_request_started(self)
         if self._count_header_bytes() > self.listener.max_header_bytes:
             return self._reject(ErrorCode.HEADERS_TOO_LARGE, "the headers are too long")
-        declared = headers.get("Content-Length", "")
-        if declared.isdigit() and int(declared) > self.listener.max_body_bytes:
+        declared_length = parse_integer(headers.get("Content-Length")) or 0
+        if declared_length > self.listener.max_body_bytes:
             return self._reject_body()
         return None
 
@@ -233,7 +233,13 @@
         )
 
     async def _serve(self) -> None:
-        request = self._decode(b"".join(self.body))
+        try:
+            request = self._decode(b"".join(self.body))
+        except Exception as error:
+            # Without this, the client would wait on an open connection.
+            log_event("request.not_decoded", reason=repr(error))
+            self.connection.close()  # type: ignore[attr-defined]
+            return
         try:
             response = await self._handle(request)
             if isinstance(response, StreamingResponse):
--- a/buckthornstile/gateway/_handlers.py
+++ b/buckthornstile/gateway/_handlers.py
@@ -14,6 +14,7 @@
     ProcessName,
     Verdict,
     get_http_status,
+    parse_integer,
 )
 from buckthornstile.gateway._call_sender import CallSender
 from buckthornstile.gateway._job_store import JobStore
@@ -403,8 +404,9 @@
 
 def _parse_position(request: ClientRequest) -> int:
     value = parse_qs(request.query).get("after", ["0"])[0]
-    if not value.isdigit():
+    position = parse_integer(value)
+    if position is None:
         raise BuckthornstileError(
             ErrorCode.HEADER_INVALID, f"position {value[:20]!r} is not a number"
         )
-    return int(value)
+    return position
--- a/buckthornstile/gateway/_item_runner.py
+++ b/buckthornstile/gateway/_item_runner.py
@@ -10,6 +10,7 @@
 from buckthornstile.gateway._load_balancer import LoadBalancer, Permit
 from buckthornstile.http_client import ConnectionPool, HTTPResponse
 from buckthornstile.jobs import JobItem, VersionSpan
+from buckthornstile.logs import log_event
 from buckthornstile.messages import ResponseHead, StreamEvent, UpstreamCall
 from buckthornstile.platform import (
     UpstreamEventParser,
@@ -292,7 +293,10 @@
         if task.cancelled() or error is not None or self.is_broken:
             balancer.record_failure(self.upstream)
             if error is not None and not isinstance(error, BuckthornstileError):
-                raise error
+                # The other items of the job go on.
+                log_event(
+                    "item.run_error", upstream=self.upstream.id, reason=repr(error)
+                )
             return RunOutcome.BROKEN
         return self._get_response_outcome()
 
--- a/buckthornstile/http_client/_connection_pool.py
+++ b/buckthornstile/http_client/_connection_pool.py
@@ -17,7 +17,7 @@
 )
 from tornado.iostream import IOStream, StreamClosedError
 
-from buckthornstile.base import BuckthornstileError, ErrorCode, Verdict
+from buckthornstile.base import BuckthornstileError, ErrorCode, Verdict, parse_integer
 from buckthornstile.http_client._response_limit import ResponseLimit
 
 CONNECT_TIMEOUT = 0.3
@@ -130,12 +130,8 @@
             and headers.get("Connection", "").lower() != "close"
         )
         self.response = HTTPResponse(start_line.code, headers)
-        declared_length = headers.get("Content-Length", "")
-        if (
-            self.on_data is None
-            and declared_length.isdecimal()
-            and int(declared_length) > self.limit.max_response_bytes
-        ):
+        declared_length = parse_integer(headers.get("Content-Length")) or 0
+        if self.on_data is None and declared_length > self.limit.max_response_bytes:
             self.abort(f"the response declares a length of {declared_length} bytes")
             return
         if self.on_headers is not None:
@@ -229,6 +225,14 @@
             if is_kept:
                 self._keep_idle(address, stream, response.headers)
             return response
+        except BuckthornstileError:
+            raise
+        except Exception as error:
+            raise BuckthornstileError(
+                ErrorCode.UPSTREAM_FAILED,
+                f"the response of {address} cannot be read: {error!r}",
+                verdict=Verdict.MAY_HAVE_RUN,
+            ) from error
         finally:
             self.limit.release(reader)
             if not is_kept:
@@ -400,6 +404,7 @@
 def _read_idle_seconds(headers: HTTPHeaders) -> float:
     for part in headers.get("Keep-Alive", "").split(","):
         name, _, value = part.strip().partition("=")
-        if name.lower() == "timeout" and value.isdigit():
-            return float(value)
+        seconds = parse_integer(value)
+        if name.lower() == "timeout" and seconds is not None:
+            return float(seconds)
     return DEFAULT_IDLE_SECONDS
--- a/buckthornstile/platform/_jobs.py
+++ b/buckthornstile/platform/_jobs.py
@@ -4,7 +4,12 @@
 import json
 from collections.abc import Sequence
 
-from buckthornstile.base import AccountId, BuckthornstileError, ErrorCode
+from buckthornstile.base import (
+    AccountId,
+    BuckthornstileError,
+    ErrorCode,
+    parse_integer,
+)
 from buckthornstile.jobs import (
     ItemId,
     ItemResult,
@@ -136,8 +141,8 @@
 
 def _parse_expected_tokens(headers: Sequence[tuple[str, str]]) -> int:
     for name, value in headers:
-        if name.lower() == EXPECTED_TOKENS_HEADER.lower() and value.isdigit():
-            return int(value)
+        if name.lower() == EXPECTED_TOKENS_HEADER.lower():
+            return parse_integer(value) or 0
     return 0
 
 
--- a/buckthornstile/platform/_protocol_names.py
+++ b/buckthornstile/platform/_protocol_names.py
@@ -72,8 +72,3 @@
 CONFIGURATION_KEY = "config"
 EVACUATION_PREFIX = "evacuate/"
 VERSION_PREFIX = "version/"
-
-
-def parse_integer(value: str | None) -> int | None:
-    """Returns a header's value as a non-negative integer, or None if it is not one."""
-    return int(value) if value and value.isdigit() else None
--- a/buckthornstile/platform/_requests.py
+++ b/buckthornstile/platform/_requests.py
@@ -4,6 +4,7 @@
 
 from tornado.httputil import HTTPHeaders
 
+from buckthornstile.base import parse_integer
 from buckthornstile.http_client import HTTPRequest, HTTPResponse
 from buckthornstile.messages import ClientRequest, Headers, Response, StreamingResponse
 from buckthornstile.platform._protocol_names import (
@@ -18,7 +19,6 @@
     RESUME_AFTER_HEADER,
     RETRY_AFTER_HEADER,
     WAIT_HEADER,
-    parse_integer,
 )
 
 MAX_WAIT = 1.0
--- a/buckthornstile/platform/_upstreams.py
+++ b/buckthornstile/platform/_upstreams.py
@@ -2,7 +2,7 @@
 
 import json
 
-from buckthornstile.base import UpstreamId
+from buckthornstile.base import UpstreamId, parse_integer
 from buckthornstile.http_client import HTTPRequest, HTTPResponse
 from buckthornstile.messages import (
     EngineReport,
@@ -36,7 +36,6 @@
     UPSTREAM_ID_HEADER,
     URGENCY_HEADER,
     VERSIONS_HEADER,
-    parse_integer,
 )
 from buckthornstile.topology import ModelName
 
