Cut clients that do not take their response

Cause: a write to a client had no time limit. A client that stopped reading a stream kept its upstream's slot and its buffers, and the process's stop waited for it until the end of its grace period. Change: a chunk of 64 KB must be taken within 20 s, or the connection is closed before the end of the response; bodies are written in such chunks.

--- a/buckthornstile/entry/_http_listener.py
+++ b/buckthornstile/entry/_http_listener.py
@@ -27,6 +27,11 @@
 MAX_HEADER_BYTES = 64 << 10
 """Size above which a request head is not read to its end and gets no response."""
 MAX_BODY_BYTES = 64 << 20
+WRITE_CHUNK_BYTES = 64 << 10
+"""Number of bytes of a body that a client must take within ``write_timeout``."""
+DEFAULT_WRITE_TIMEOUT = 20.0
+"""Seconds in which a client must take a chunk of a response. A slower client would hold
+an upstream's slot and memory; 64 KB in this time are 3 KB/s."""
 LISTEN_BACKLOG = 1024
 """Number of connections that may wait to be accepted."""
 
@@ -63,6 +68,8 @@
         address: Address to listen on, as ``IP:port``; port 0 selects a free port.
         codec: Decodes requests and encodes responses.
         idle_timeout: Seconds after which an idle connection is closed.
+        write_timeout: Seconds after which the connection of a client that does not take
+            the next chunk of its response is closed.
         ssl_options: TLS context, or None for plain HTTP.
     """
 
@@ -73,11 +80,13 @@
         codec: HTTPCodec,
         *,
         idle_timeout: float,
+        write_timeout: float = DEFAULT_WRITE_TIMEOUT,
         ssl_options: ssl.SSLContext | None = None,
     ) -> None:
         self.handler = handler
         self.address = address
         self.codec = codec
+        self.write_timeout = write_timeout
         self.max_body_bytes = MAX_BODY_BYTES
         self.max_header_bytes = MAX_HEADER_BYTES
         self.is_draining = False
@@ -278,13 +287,33 @@
         line, headers = self._make_response_head(request, response, is_last)
         if response.status not in (204, 304):
             headers["Content-Length"] = str(len(response.body))
+        body = memoryview(response.body)
+        first, rest = body[:WRITE_CHUNK_BYTES], body[WRITE_CHUNK_BYTES:]
         with contextlib.suppress(StreamClosedError):
-            sent = self.connection.write_headers(line, headers, response.body or None)
+            sent = self.connection.write_headers(line, headers, bytes(first) or None)
+            while rest:
+                if not await self._is_taken(request, sent):
+                    return
+                sent = self.connection.write(bytes(rest[:WRITE_CHUNK_BYTES]))
+                rest = rest[WRITE_CHUNK_BYTES:]
             self.connection.finish()
-            await sent
-            if is_last:
+            if await self._is_taken(request, sent) and is_last:
                 self.connection.close()  # type: ignore[attr-defined]
 
+    async def _is_taken(self, request: AnyRequest, sent: Awaitable[None]) -> bool:
+        """Waits until a chunk is written, and returns whether it was in time.
+
+        Otherwise the connection is closed, so that the response is incomplete.
+        """
+        try:
+            async with asyncio.timeout(self.listener.write_timeout):
+                await sent
+        except TimeoutError:
+            log_event("client.stalled", request=request.id, path=request.path[:40])
+            self.connection.close()  # type: ignore[attr-defined]
+            return False
+        return True
+
     async def _write_stream(
         self, request: AnyRequest, response: StreamingResponse
     ) -> None:
@@ -295,10 +324,15 @@
         self.connection.stream.set_nodelay(True)  # type: ignore[attr-defined]
         with contextlib.suppress(StreamClosedError):
             async with contextlib.aclosing(response.chunks) as chunks:
-                await self.connection.write_headers(line, headers)
+                sent = self.connection.write_headers(line, headers)
                 try:
+                    if not await self._is_taken(request, sent):
+                        return
                     async for chunk in chunks:
-                        await self.connection.write(chunk)
+                        if not await self._is_taken(
+                            request, self.connection.write(chunk)
+                        ):
+                            return
                 except BuckthornstileError as error:
                     log_event("stream.broken", request=request.id, reason=error.message)
                     # Without the final chunk the client sees that the stream is
