--- a/buckthornstile/entry/_http_listener.py
+++ b/buckthornstile/entry/_http_listener.py
@@ -292,18 +292,20 @@
         with contextlib.suppress(StreamClosedError):
             sent = self.connection.write_headers(line, headers, bytes(first) or None)
             while rest:
-                if not await self._is_taken(request, sent):
+                if not await self._wait_until_written(request, sent):
                     return
                 sent = self.connection.write(bytes(rest[:WRITE_CHUNK_BYTES]))
                 rest = rest[WRITE_CHUNK_BYTES:]
             self.connection.finish()
-            if await self._is_taken(request, sent) and is_last:
+            if await self._wait_until_written(request, sent) and is_last:
                 self.connection.close()  # type: ignore[attr-defined]
 
-    async def _is_taken(self, request: AnyRequest, sent: Awaitable[None]) -> bool:
-        """Waits until a chunk is written, and returns whether it was in time.
+    async def _wait_until_written(
+        self, request: AnyRequest, sent: Awaitable[None]
+    ) -> bool:
+        """Waits until a chunk is written; returns False if the client did not take it.
 
-        Otherwise the connection is closed, so that the response is incomplete.
+        The connection is then closed, so that the response is visibly incomplete.
         """
         try:
             async with asyncio.timeout(self.listener.write_timeout):
@@ -326,10 +328,10 @@
             async with contextlib.aclosing(response.chunks) as chunks:
                 sent = self.connection.write_headers(line, headers)
                 try:
-                    if not await self._is_taken(request, sent):
+                    if not await self._wait_until_written(request, sent):
                         return
                     async for chunk in chunks:
-                        if not await self._is_taken(
+                        if not await self._wait_until_written(
                             request, self.connection.write(chunk)
                         ):
                             return
--- a/buckthornstile/gateway/_load_balancer.py
+++ b/buckthornstile/gateway/_load_balancer.py
@@ -102,8 +102,6 @@
         self._stats: UpstreamStats | None = stats
         self._clock = clock
         self._is_unconfirmed = is_rate_limited
-        stats.open_request_count += 1
-        stats.unconfirmed_start_count += is_rate_limited
 
     def confirm_arrival(self) -> None:
         """Records that the request has arrived; only the first call has an effect."""
@@ -332,11 +330,12 @@
 
     def acquire_permit(self, upstream: Upstream) -> "Permit":
         """Counts a request as open until the returned permit is released."""
-        return Permit(
-            self.get_stats(upstream),
-            self.clock,
-            is_rate_limited=self._get_cold_rate(upstream) > 0,
-        )
+        stats = self.get_stats(upstream)
+        is_rate_limited = self._get_cold_rate(upstream) > 0
+        stats.open_request_count += 1
+        if is_rate_limited:
+            stats.unconfirmed_start_count += 1
+        return Permit(stats, self.clock, is_rate_limited=is_rate_limited)
 
     def record_load(self, upstream: Upstream, load: UpstreamLoad | None) -> None:
         """Records the load that an upstream reported."""
