--- /dev/null
+++ b/buckthornstile/entry/tests/test_item_runner.py
@@ -0,0 +1,57 @@
+"""Outcomes of one run of an item."""
+
+import asyncio
+
+import pytest
+
+from buckthornstile.base import BuckthornstileError, ErrorCode, Verdict
+from buckthornstile.entry.tests.test_load_balancer import BalancerSetup
+from buckthornstile.gateway._item_runner import ItemProgress, ItemRunner, RunOutcome
+from buckthornstile.http_client import HTTPResponse
+from buckthornstile.jobs import JobItem
+
+
+class FailingPool:
+    """A connection pool whose requests all fail with one error."""
+
+    def __init__(self, error: Exception) -> None:
+        self.error = error
+
+    async def send(self, *arguments: object, **options: object) -> HTTPResponse:
+        raise self.error
+
+
+@pytest.mark.parametrize(
+    "error",
+    [
+        ValueError("an unexpected error"),
+        BuckthornstileError(
+            ErrorCode.ANSWER_TOO_LARGE, "too large", verdict=Verdict.MAY_HAVE_RUN
+        ),
+    ],
+    ids=["unexpected", "too-large"],
+)
+def test_error_of_a_run_ends_only_this_run_and_ejects_the_upstream(
+    error: Exception,
+) -> None:
+    """An exception would cancel the runs of all items of the job."""
+
+    async def run() -> None:
+        setup = BalancerSetup()
+        upstream = setup.get_upstream("w0")
+        outcome = await ItemRunner(setup.balancer, FailingPool(error)).run(
+            JobItem("i1", "/x", (), b"", 0),
+            upstream,
+            ItemProgress(),
+            setup.balancer.acquire_permit(upstream),
+            host="h",
+            account="mill",
+            urgency=1,
+            minimum_version=0,
+            model=None,
+            version=None,
+        )
+        assert outcome is RunOutcome.BROKEN
+        assert setup.balancer.is_ejected(upstream)
+
+    asyncio.run(run())
--- a/buckthornstile/platform/tests/test_node_settings.py
+++ b/buckthornstile/platform/tests/test_node_settings.py
@@ -65,3 +65,11 @@
     path.write_text(json.dumps(DATA | {"bounds": {"revokeMs": -1}}))
     with pytest.raises(BuckthornstileError, match="key_bound"):
         read_node_settings(str(path))
+
+
+@pytest.mark.parametrize("memory_mb", [16, 200, 552, 4096])
+def test_responses_take_an_eighth_of_the_memory(path, memory_mb) -> None:
+    path.write_text(json.dumps({**DATA, "limits": {"memoryMb": memory_mb}}))
+    settings = read_node_settings(str(path))
+    assert settings.max_buffered_bytes == max(4 << 20, (memory_mb << 20) // 8)
+    assert settings.max_response_bytes <= settings.max_buffered_bytes
