--- /dev/null
+++ b/buckthornstile/entry/tests/test_endless_responses.py
@@ -0,0 +1,95 @@
+"""Upstreams whose responses have no end, seen by the callers of an entry."""
+
+import asyncio
+
+import pytest
+
+from buckthornstile.base import BuckthornstileError
+from buckthornstile.entry.tests.in_process import (
+    MODEL_SERVICE,
+    PLAIN_SERVICE,
+    InProcessDeployment,
+    make_expected_text,
+    make_job,
+    with_deployment,
+)
+from buckthornstile.entry.tests.test_streams import add_route, read_stream
+from buckthornstile.http_client import ResponseLimit
+from buckthornstile.platform._upstreams import MAX_EVENT_BYTES
+
+FLOOD = {"kind": "endless"}
+DRIP = {"kind": "endless", "seconds": 0.02}
+MAX_RESPONSE_BYTES = 1 << 20
+SOCKET_BUFFER_BYTES = 8 << 20
+"""Bytes that the kernel may accept from a sender before the receiver reads them."""
+
+
+def check_run_has_ended(deployment: InProcessDeployment, name: str) -> None:
+    """Checks that the upstream's connection was closed, not read on."""
+    for run in deployment.workers[name].list_runs():
+        assert run["sent_bytes"] < MAX_EVENT_BYTES + SOCKET_BUFFER_BYTES
+
+
+@with_deployment
+async def test_call_is_answered_by_another_upstream(
+    deployment: InProcessDeployment,
+) -> None:
+    for name in ("w1", "w2"):
+        deployment.add_worker(name, PLAIN_SERVICE)
+    entry = await deployment.add_entry("e1")
+    entry.pool.limit = ResponseLimit(max_response_bytes=MAX_RESPONSE_BYTES)
+    for worker in deployment.workers.values():
+        worker.faults.add({**FLOOD, "count": 1})
+    assert (await deployment.send_simple_request("e1", "r1")).status == 200
+    assert entry.pool.limit.total_bytes == 0
+
+
+@with_deployment
+async def test_call_without_another_upstream_is_not_said_not_to_have_run(
+    deployment: InProcessDeployment,
+) -> None:
+    deployment.add_worker("w1", PLAIN_SERVICE)
+    deployment.workers["w1"].faults.add(FLOOD)
+    entry = await deployment.add_entry("e1")
+    entry.pool.limit = ResponseLimit(max_response_bytes=MAX_RESPONSE_BYTES)
+    response = await deployment.send_simple_request("e1", "r1")
+    assert (response.status, bytes(response.body)) == (
+        502,
+        b"upstream.answer_too_large",
+    )
+    check_run_has_ended(deployment, "w1")
+
+
+@pytest.mark.parametrize("fault", [FLOOD, DRIP], ids=["flood", "drip"])
+def test_stream_without_an_event_is_broken_and_closed(fault: dict) -> None:
+    @with_deployment
+    async def test(deployment: InProcessDeployment) -> None:
+        add_route(deployment, resumable=False)
+        deployment.add_worker("m1", MODEL_SERVICE)
+        deployment.workers["m1"].faults.add(fault)
+        await deployment.add_entry("e1")
+        async with asyncio.timeout(7.0):  # the request's deadline is 5 s
+            with pytest.raises(BuckthornstileError, match="early"):
+                await read_stream(deployment, "r1", [])
+        check_run_has_ended(deployment, "m1")
+
+    test()
+
+
+@pytest.mark.parametrize("fault", [FLOOD, DRIP], ids=["flood", "drip"])
+def test_items_are_run_again_at_another_engine(fault: dict) -> None:
+    @with_deployment
+    async def test(deployment: InProcessDeployment) -> None:
+        for name in ("m1", "m2"):
+            deployment.add_worker(name, MODEL_SERVICE)
+        deployment.add_worker("w1", PLAIN_SERVICE)
+        deployment.workers["m1"].faults.add(fault)
+        await deployment.add_entry("e1")
+        assert await deployment.submit_job("e1", make_job(4), "j1") == 202
+        results = await deployment.wait_for_results("e1", "j1", 4)
+        assert {result["text"] for result in results} == {
+            make_expected_text(f"i{number}") for number in range(4)
+        }
+        check_run_has_ended(deployment, "m1")
+
+    test()
--- a/standins/worker/_application.py
+++ b/standins/worker/_application.py
@@ -1,11 +1,13 @@
 """HTTP routes of a worker's stand-in: requests, token streams and load orders."""
 
 import asyncio
+import contextlib
 import json
 from dataclasses import dataclass, field
 from typing import Any
 
 from tornado import web
+from tornado.iostream import StreamClosedError
 
 from standins.faults import FaultInjector
 from standins.server import (
@@ -17,6 +19,7 @@
 from standins.worker._tokens import generate_token, parse_prompt_request
 
 DEFAULT_LOAD_SECONDS = 0.05
+ENDLESS_CHUNK_BYTES = 64 << 10
 
 
 @dataclass
@@ -59,6 +62,8 @@
     - ``reset``: the request is recorded as run, but the connection is closed without
       a response.
     - ``silent``: the request is recorded as run, and handled after ``seconds``.
+    - ``endless``: the body of a response goes on without end and without an event
+      until the connection is closed; a chunk is sent every ``seconds``.
     - ``truncate``: the body of a plain response is incomplete.
     - ``crossed``: a plain response carries the id of another request.
     - ``unsigned``: a plain response lacks the ``Server-Stamp`` header.
@@ -127,6 +132,9 @@
         if self.faults.consume("impossible"):
             self.set_status(422)
             return
+        if fault := self.faults.consume("endless"):
+            await self._send_endlessly(fault.seconds, entry)
+            return
         self.state.running += 1
         peak = self.journal.counters.get("peak_running", 0)
         self.journal.counters["peak_running"] = max(peak, self.state.running)
@@ -141,6 +149,18 @@
 
     get = post
 
+    async def _send_endlessly(self, pause: float, entry: dict[str, Any]) -> None:
+        """Sends comments with pauses, or an event without end if there are none."""
+        chunk = b": comment\n\n" if pause else b"data: " + b"x" * ENDLESS_CHUNK_BYTES
+        entry["sent_bytes"] = 0
+        self.set_header("Weight-Versions", "1")
+        with contextlib.suppress(StreamClosedError):
+            while True:
+                self.write(chunk)
+                await self.flush()
+                entry["sent_bytes"] += len(chunk)
+                await asyncio.sleep(pause)
+
     async def _send_response(self) -> None:
         await asyncio.sleep(self.state.work_seconds)
         if self.faults.consume("unsigned"):
