--- a/buckthornstile/http_client/__init__.py
+++ b/buckthornstile/http_client/__init__.py
@@ -1,11 +1,7 @@
 """HTTP client with a connection pool, for upstreams and the platform."""
 
-from buckthornstile.http_client._connection_pool import (
-    ConnectionPool,
-    HTTPRequest,
-    HTTPResponse,
-    is_reusable,
-)
+from buckthornstile.http_client._connection_pool import ConnectionPool, is_reusable
+from buckthornstile.http_client._messages import HTTPRequest, HTTPResponse
 from buckthornstile.http_client._response_limit import ResponseLimit
 
 __all__ = [
