Derive the limit of a store response from the largest record

Cause: a response of the store was limited to 4 MB, whatever size of records the store's settings allow; a partition that holds a larger record could never be read again. Change: the limit is twice the requested size and one record, as records come in base64. Evidence: the new test reads a record of 8 MB; before, the response ended at 4 MB. The tests of platform pass.

--- a/buckthornstile/entry/_daemon.py
+++ b/buckthornstile/entry/_daemon.py
@@ -108,7 +108,9 @@
             random.Random(name),
         )
         self.store = StoreClient(
-            settings.store_address, proxy_selector=self.proxy_selector
+            settings.store_address,
+            proxy_selector=self.proxy_selector,
+            max_record_bytes=settings.max_record_bytes,
         )
         self.store_proxy = StoreProxy(self.store, self.proxy_selector)
         self.pool = ConnectionPool(
--- a/buckthornstile/platform/_store.py
+++ b/buckthornstile/platform/_store.py
@@ -32,10 +32,11 @@
 """Timeout in seconds of a call that the store does not hold as a long poll."""
 MAX_READ_KILOBYTES = 1024
 """Maximum size of the response that a read requests, in kilobytes."""
-MAX_RESPONSE_BYTES = 4 << 20
-"""Maximum size of a response; a read may exceed the requested size by one record."""
-MAX_BUFFERED_BYTES = 16 << 20
-"""Maximum size of all responses that are read at a time."""
+ENCODING_FACTOR = 2
+"""Factor by which the JSON of a response may exceed its records (encoded in base64)."""
+MAX_CONCURRENT_RESPONSES = 8
+"""Number of the largest responses that may be read at a time."""
+DEFAULT_MAX_RECORD_BYTES = 64 << 20
 PROBE_TIMEOUT = 0.5
 """Timeout in seconds of a call that only tests whether the store is reachable."""
 UNAVAILABLE_STATUSES = (429, 503, 507)
@@ -169,6 +170,8 @@
     Args:
         address: Address of the store, as ``IP:port``.
         proxy_selector: Selects the path of each call; by default the direct one.
+        max_record_bytes: Maximum size of a record. A response is limited to the size
+            that a read requests and one record more.
 
     Example:
         >>> StoreClient("127.0.0.1:1").address
@@ -176,15 +179,22 @@
     """
 
     def __init__(
-        self, address: str, *, proxy_selector: ProxySelector | None = None
+        self,
+        address: str,
+        *,
+        proxy_selector: ProxySelector | None = None,
+        max_record_bytes: int = DEFAULT_MAX_RECORD_BYTES,
     ) -> None:
         self.address = address
         self.proxy_selector = proxy_selector or NoProxy()
+        max_response_bytes = ENCODING_FACTOR * (
+            (MAX_READ_KILOBYTES << 10) + max_record_bytes
+        )
         self._pool = ConnectionPool(
             max_idle_per_peer=16,
             limit=ResponseLimit(
-                max_response_bytes=MAX_RESPONSE_BYTES,
-                max_total_bytes=MAX_BUFFERED_BYTES,
+                max_response_bytes=max_response_bytes,
+                max_total_bytes=MAX_CONCURRENT_RESPONSES * max_response_bytes,
             ),
         )
 
--- a/buckthornstile/platform/tests/test_store.py
+++ b/buckthornstile/platform/tests/test_store.py
@@ -52,6 +52,25 @@
     run_with_store(test)
 
 
+def test_largest_record_can_be_read() -> None:
+    """A record may be larger than the size that a read requests."""
+    size = 8 << 20
+
+    async def test(store: StoreClient, application: Any) -> None:
+        reader = StoreClient(store.address, max_record_bytes=size)
+        await store.append("t", 0, [b"x" * size], timeout=5.0)
+        assert (await reader.read("t", 0, 0, timeout=5.0)).records == (
+            (0, b"x" * size),
+        )
+        key = encode_keyed_record("k", b"x" * (size - 2))
+        await store.append("keyed.t", 0, [key], timeout=5.0)
+        (record,), _ = await reader.read_latest("keyed.t", 0, timeout=5.0)
+        assert record.value == b"x" * (size - 2)
+        reader.close()
+
+    run_with_store(test)
+
+
 def test_long_poll_returns_when_record_is_appended() -> None:
     async def test(store: StoreClient, _: Any) -> None:
         read_task = asyncio.create_task(store.read("t", 0, 0, wait=2.0))
