Log the rate limit that an upstream states

Cause: upstreams in need state the requests per second that they accept from all processes together. Nothing decoded the header, so neither logs nor metrics could tell whether an upstream had stated a limit, when, and what it got afterwards. Change: the adapter decodes the limit. The load balancer keeps it with the upstream's other statistics, as soon as a response's head arrives, and logs each change with the number of requests that this process sent in the last 4 s.

--- a/buckthornstile/gateway/_call_sender.py
+++ b/buckthornstile/gateway/_call_sender.py
@@ -15,7 +15,7 @@
     Verdict,
 )
 from buckthornstile.gateway._load_balancer import LoadBalancer, Permit
-from buckthornstile.http_client import ConnectionPool
+from buckthornstile.http_client import ConnectionPool, HTTPResponse
 from buckthornstile.logs import log_event
 from buckthornstile.messages import ResponseHead, RoutedCall, UpstreamCall
 from buckthornstile.platform import decode_response_head, encode_upstream_call
@@ -204,18 +204,23 @@
                 last_event_id=request.last_event_id,
             )
         )
+
         # The peer may close a reused connection just as the request is written.
         # Whether the request ran is then unknown, and one that must not run twice
         # could not be retried, so it gets a new connection.
+        def record_head(response: HTTPResponse) -> None:
+            permit.confirm_arrival()
+            balancer.record_head(upstream, decode_response_head(response))
+
         response = await self.sender.pool.send(
             upstream.address,
             outgoing,
+            on_headers=record_head,
             new_connection=not self.is_idempotent,
             before_send=call.before_send,
         )
         permit.release()
         head = decode_response_head(response)
-        balancer.record_load(upstream, head.load)
         if not head.is_refusal:
             balancer.record_latency(upstream, loop.time() - started_at)
             if call.account is not None:
--- a/buckthornstile/gateway/_item_runner.py
+++ b/buckthornstile/gateway/_item_runner.py
@@ -203,7 +203,7 @@
     def _on_headers(self, response: HTTPResponse) -> None:
         self.permit.confirm_arrival()
         self.head = decode_response_head(response)
-        self.runner.balancer.record_load(self.upstream, self.head.load)
+        self.runner.balancer.record_head(self.upstream, self.head)
         if self.head.status != 200 or self.head.is_refusal:
             return
         if self.head.has_content_encoding:
--- a/buckthornstile/gateway/_load_balancer.py
+++ b/buckthornstile/gateway/_load_balancer.py
@@ -5,7 +5,8 @@
 from dataclasses import dataclass, field
 
 from buckthornstile.base import ServiceName, UpstreamId
-from buckthornstile.messages import UpstreamLoad
+from buckthornstile.logs import log_event
+from buckthornstile.messages import ResponseHead, UpstreamLoad
 from buckthornstile.routing import compute_rendezvous_score
 from buckthornstile.topology import TopologyView, Upstream
 
@@ -35,6 +36,11 @@
 """Seconds for which a request at a cold upstream counts after it is known to have
 arrived: one second and a margin for differences between clocks."""
 
+RATE_LOG_WINDOW = 4.0
+"""Seconds over which this process's requests are counted in the log of a rate limit."""
+MAX_START_TIMES = 256
+"""Number of latest starts that are kept for each upstream."""
+
 
 @dataclass(slots=True)
 class UpstreamStats:
@@ -56,6 +62,9 @@
             the upstream; counted only for services with a cold rate.
         arrival_times: Times at which requests were known to have arrived, within
             ``COLD_WINDOW``, in seconds.
+        rate_limit: Requests per second that it accepts from all processes together, as
+            it stated last, or None for no limit.
+        start_times: Times at which this process sent its latest requests, in seconds.
     """
 
     started_at_ms: int
@@ -70,6 +79,14 @@
     refused_until: float = 0.0
     unconfirmed_start_count: int = 0
     arrival_times: deque[float] = field(default_factory=deque)
+    rate_limit: float | None = None
+    start_times: deque[float] = field(
+        default_factory=lambda: deque(maxlen=MAX_START_TIMES)
+    )
+
+    def count_starts(self, since: float) -> int:
+        """Counts this process's requests that were sent at a time or later."""
+        return sum(1 for started_at in self.start_times if started_at >= since)
 
     def count_recent_starts(self, now: float) -> int:
         """Counts the requests that may have arrived in the last ``COLD_WINDOW``.
@@ -333,16 +350,36 @@
         stats = self.get_stats(upstream)
         is_rate_limited = self._get_cold_rate(upstream) > 0
         stats.open_request_count += 1
+        stats.start_times.append(self.clock())
         if is_rate_limited:
             stats.unconfirmed_start_count += 1
         return Permit(stats, self.clock, is_rate_limited=is_rate_limited)
 
-    def record_load(self, upstream: Upstream, load: UpstreamLoad | None) -> None:
+    def record_head(self, upstream: Upstream, head: ResponseHead) -> None:
+        """Records what an upstream stated about itself in the head of a response."""
+        if head.load is not None:
+            self.record_load(upstream, head.load)
+        self._record_rate_limit(upstream, head)
+
+    def record_load(self, upstream: Upstream, load: UpstreamLoad) -> None:
         """Records the load that an upstream reported."""
-        if load is not None:
-            stats = self.get_stats(upstream)
-            stats.load, stats.load_received_at = load, self.clock()
-            stats.own_requests_at_load = stats.open_request_count
+        stats = self.get_stats(upstream)
+        stats.load, stats.load_received_at = load, self.clock()
+        stats.own_requests_at_load = stats.open_request_count
+
+    def _record_rate_limit(self, upstream: Upstream, head: ResponseHead) -> None:
+        stats = self.get_stats(upstream)
+        if head.rate_limit is None and head.is_refusal:
+            return
+        if head.rate_limit != stats.rate_limit:
+            log_event(
+                "upstream.rate_limit",
+                upstream=upstream.id,
+                limit=head.rate_limit,
+                previous=stats.rate_limit,
+                recent_starts=stats.count_starts(self.clock() - RATE_LOG_WINDOW),
+            )
+        stats.rate_limit = head.rate_limit
 
     def record_activity(self, upstream: Upstream) -> None:
         """Records that an upstream sent data."""
--- a/buckthornstile/gateway/_stream_proxy.py
+++ b/buckthornstile/gateway/_stream_proxy.py
@@ -178,7 +178,7 @@
     def _on_headers(self, response: HTTPResponse) -> None:
         self.permit.confirm_arrival()
         self.head = decode_response_head(response)
-        self.proxy.balancer.record_load(self.upstream, self.head.load)
+        self.proxy.balancer.record_head(self.upstream, self.head)
         self.head_or_end.set()
 
     def _on_data(self, chunk: bytes) -> Awaitable[None] | None:
--- a/buckthornstile/messages/_types.py
+++ b/buckthornstile/messages/_types.py
@@ -131,7 +131,9 @@
     ``is_refusal`` guarantees that the request was not run. ``version`` is the version
     that produced the first event, or None. ``signature`` is the value of the signature
     header, or empty. ``other_upstream`` is the id of the upstream that responded, if
-    the request was addressed to another one, or None.
+    the request was addressed to another one, or None. ``rate_limit`` is the number of
+    requests per second that the upstream accepts from all processes together, or None
+    for no limit.
     """
 
     status: int
@@ -142,6 +144,7 @@
     load: UpstreamLoad | None = None
     version: int | None = None
     other_upstream: UpstreamId | None = None
+    rate_limit: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/buckthornstile/platform/_upstreams.py
+++ b/buckthornstile/platform/_upstreams.py
@@ -28,6 +28,7 @@
     NOT_RUN_HEADER,
     ORDER_PATH,
     PROMPT_PREFIX_HEADER,
+    RATE_LIMIT_HEADER,
     REPORT_PATH,
     REQUEST_ID_HEADER,
     RESUME_AFTER_HEADER,
@@ -111,11 +112,24 @@
         has_content_encoding="Content-Encoding" in headers,
         signature=headers.get(SIGNATURE_HEADER, ""),
         load=_decode_load(headers.get(LOAD_HEADER)),
+        rate_limit=decode_rate_limit(response),
         version=parse_integer(headers.get(VERSIONS_HEADER)),
         other_upstream=UpstreamId(other_upstream) if other_upstream else None,
     )
 
 
+def decode_rate_limit(response: HTTPResponse) -> float | None:
+    """Decodes the rate limit that an upstream states with a response.
+
+    Returns:
+        Requests per second from all processes together, or None if the response states
+        no valid limit.
+    """
+    value = response.headers.get(RATE_LIMIT_HEADER, "").strip()
+    is_decimal = value.isascii() and value.replace(".", "", 1).isdigit()
+    return float(value) if is_decimal else None
+
+
 def encode_order(order: LoadOrder) -> HTTPRequest:
     """Encodes an order to load a version of a model's weights."""
     data = {
