--- a/standins/worker/_application.py
+++ b/standins/worker/_application.py
@@ -37,6 +37,8 @@
         running: Number of running requests.
         is_loading: Whether the worker is loading a version.
         load_seconds: Seconds that loading a version takes.
+        rate_limit: Requests per second that the worker states as its limit in all
+            responses, or None.
     """
 
     id: str
@@ -49,6 +51,7 @@
     running: int = 0
     is_loading: bool = False
     load_seconds: float = DEFAULT_LOAD_SECONDS
+    rate_limit: float | None = None
 
 
 class WorkerHandler(web.RequestHandler):
@@ -83,6 +86,8 @@
         self.state = state
         self.faults = faults
         self.journal = journal
+        if state.rate_limit is not None:
+            self.set_header("Server-Limit", str(state.rate_limit))
 
     def check_expected_instance(self) -> bool:
         """Returns whether the request is for this worker; if not, sends status 421."""
