Share the rate limit that an upstream states among all entries

Cause: a limit on all entries together was enforced nowhere. The class of fault is a common limit that each process would have to know, divide and keep on its own. Change: each period of a second is divided into as many slots as the limit has requests. Every entry computes the same owner of each slot, in proportion to the demand that the entries publish beside their presence records, so no message is needed for a request and nothing grows with the square of the entries. An entry learns a limit from its own responses or from the others' records; the newest statement counts, for one incarnation. A response without a limit ends it if its request was sent after the last statement. An entry whose own record has not been read has no slot. Calls wait for a slot within their target latency, or are refused at once with the time of the next slot. Why it works: the slots that can be used within 4 s are 5 L + 1 at most, where 6 L + 5 are allowed, whatever the number of entries. Ruled out: equal shares, which leave 85 of 88 shares unused when three entries run all jobs; one entry that hands out permits, which costs a round trip for each request.

--- a/buckthornstile/entry/_components.py
+++ b/buckthornstile/entry/_components.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from buckthornstile.base import AccountId, ProcessName
+from buckthornstile.base import AccountId, ProcessName, ServiceName
 from buckthornstile.duties import ModelLoadPlanner
 from buckthornstile.entry._presence_publisher import PresencePublisher
 from buckthornstile.gateway import (
@@ -15,6 +15,7 @@
     LoadBalancer,
     ModelLoadDispatcher,
     PartitionAssignment,
+    RateLimits,
     StreamProxy,
     TopologyWatcher,
     UsageReporter,
@@ -59,6 +60,7 @@
     list_possibly_live: Callable[[], list[ProcessName]],
     on_change: Callable[[], None],
     on_executed: Callable[[AccountId, float], None],
+    count_waiting: Callable[[ServiceName], int],
 ) -> UpstreamComponents:
     """Builds the components that track upstreams and send requests to them.
 
@@ -68,11 +70,20 @@
         on_change: Called after each change of the topology.
         on_executed: Called when an upstream has executed a request, with the account
             and the seconds that the execution took.
+        count_waiting: Returns the number of items that wait to be sent to a service.
     """
     settings, view, pool = resources.settings, resources.view, resources.pool
+    rate_limits = RateLimits(
+        resources.name,
+        clock=resources.clock,
+        wall_clock=resources.wall_clock,
+        list_entries=list_possibly_live,
+        count_waiting=count_waiting,
+    )
     balancer = LoadBalancer(
         view,
         resources.clock,
+        rate_limits=rate_limits,
         list_entries=lambda: list(list_possibly_live()),
         name=resources.name,
         cold_rate_factor=settings.cold_overage,
--- a/buckthornstile/entry/_daemon.py
+++ b/buckthornstile/entry/_daemon.py
@@ -45,6 +45,7 @@
     JobManager,
     PartitionAssignment,
     PeerClient,
+    RateRecord,
     StoreProxy,
     StoreProxySelector,
     make_error_response,
@@ -139,6 +140,10 @@
             list_unpublished_versions=lambda: (
                 self.lease_holder_tasks.load_dispatcher.list_unpublished_versions()
             ),
+            make_rate_record=self._make_rate_record,
+            on_rate_record=lambda record: self.balancer.rate_limits.apply_record(
+                record
+            ),
         )
         self.presence = self.presence_publisher.presence
         self.configuration: ConfigurationWatcher | None = None
@@ -237,6 +242,7 @@
             list_possibly_live=self.presence.list_possibly_live,
             on_change=self._on_topology_changed,
             on_executed=self._count_executed_request,
+            count_waiting=lambda service: self.job_manager.count_waiting(service),
         )
         self.balancer, self.topology_watcher = (
             components.balancer,
@@ -397,6 +403,7 @@
             "jobs_running": self.job_manager.count_running(),
             "jobs_kept": len(self.job_store.table.jobs),
             "upstreams_known": len(self.view.upstreams),
+            "upstreams_rate_limited": self.balancer.rate_limits.count_limited(),
             "configuration_version": getattr(self.view.configuration, "version", 0),
             "configuration_revision": revision,
             "configuration_age_seconds": (
@@ -428,6 +435,11 @@
             self.client_listener.max_body_bytes = limits.max_body_bytes
             self.client_listener.max_header_bytes = limits.max_header_bytes
 
+    def _make_rate_record(self) -> RateRecord | None:
+        return self.balancer.rate_limits.make_record(
+            self.balancer.list_limited_services()
+        )
+
     def _may_load_jobs(self) -> bool:
         """Whether the topology and the presence of all entries are loaded.
 
--- a/buckthornstile/entry/_presence_publisher.py
+++ b/buckthornstile/entry/_presence_publisher.py
@@ -13,7 +13,9 @@
     LoadedVersions,
     PresenceRecord,
     PresenceTable,
+    RateRecord,
     decode_presence,
+    decode_rate_record,
 )
 from buckthornstile.logs import log_event
 from buckthornstile.platform import StoreClient
@@ -47,6 +49,9 @@
         wall_clock: Returns seconds since the epoch.
         list_unpublished_versions: Returns the model versions that engines have loaded
             and that their registrations don't show yet.
+        make_rate_record: Returns the record about upstreams' rate limits to publish
+            with each presence record, or None.
+        on_rate_record: Called with each such record of any entry, this one included.
     """
 
     def __init__(
@@ -59,6 +64,8 @@
         clock: Callable[[], float],
         wall_clock: Callable[[], float],
         list_unpublished_versions: Callable[[], LoadedVersions],
+        make_rate_record: Callable[[], RateRecord | None],
+        on_rate_record: Callable[[RateRecord], None],
     ) -> None:
         self.name = name
         self.settings = settings
@@ -67,6 +74,8 @@
         self.clock = clock
         self.wall_clock = wall_clock
         self.list_unpublished_versions = list_unpublished_versions
+        self.make_rate_record = make_rate_record
+        self.on_rate_record = on_rate_record
         self.is_leaving = False
         self.peer_address = settings.peer_address
         self.presence = PresenceTable(clock)
@@ -124,10 +133,12 @@
             address=self.peer_address,
             made_at=now,
         )
+        records = [record.encode()]
+        rate_record = self.make_rate_record()
+        if rate_record is not None:
+            records.append(rate_record.encode())
         try:
-            await self.store.append(
-                PRESENCE_TOPIC, 0, [record.encode()], timeout=APPEND_TIMEOUT
-            )
+            await self.store.append(PRESENCE_TOPIC, 0, records, timeout=APPEND_TIMEOUT)
         except BuckthornstileError as error:
             log_event("presence.append_failed", reason=error.message)
             return False
@@ -135,6 +146,10 @@
 
     def _apply(self, offset: int, data: bytes) -> None:
         try:
+            rate_record = decode_rate_record(data)
+            if rate_record is not None:
+                self.on_rate_record(rate_record)
+                return
             record = decode_presence(data)
         except ValueError as error:
             log_event("presence.unreadable", offset=offset, reason=error)
--- a/buckthornstile/entry/tests/test_load_balancer.py
+++ b/buckthornstile/entry/tests/test_load_balancer.py
@@ -7,6 +7,7 @@
 
 from buckthornstile.gateway._call_sender import CallSender
 from buckthornstile.gateway._load_balancer import LoadBalancer, Permit
+from buckthornstile.gateway._rate_limits import RateLimits
 from buckthornstile.http_client import HTTPResponse
 from buckthornstile.messages import ClientRequest, RoutedCall, UpstreamLoad
 from buckthornstile.topology import (
@@ -43,6 +44,12 @@
                 lambda: self.now,
                 list_entries=lambda: names,
                 name=name,
+                rate_limits=RateLimits(
+                    name,
+                    clock=lambda: self.now,
+                    wall_clock=lambda: self.now,
+                    list_entries=lambda: names,
+                ),
                 cold_rate_factor=COLD_OVERAGE,
                 cold_rate_slack=COLD_SLACK,
             )
--- a/buckthornstile/gateway/__init__.py
+++ b/buckthornstile/gateway/__init__.py
@@ -26,6 +26,8 @@
     PresenceTable,
     decode_presence,
 )
+from buckthornstile.gateway._rate_limits import RateLimits
+from buckthornstile.gateway._rate_records import RateRecord, decode_rate_record
 from buckthornstile.gateway._store_proxy import StoreProxy, StoreProxySelector
 from buckthornstile.gateway._stream_proxy import StreamProxy
 from buckthornstile.gateway._topology_watcher import TopologyWatcher
@@ -50,6 +52,8 @@
     "PeerClient",
     "PresenceRecord",
     "PresenceTable",
+    "RateLimits",
+    "RateRecord",
     "StreamProxy",
     "ItemRunner",
     "StoreProxySelector",
@@ -58,5 +62,6 @@
     "LoadedVersions",
     "TopologyWatcher",
     "decode_presence",
+    "decode_rate_record",
     "make_error_response",
 ]
--- a/buckthornstile/gateway/_call_sender.py
+++ b/buckthornstile/gateway/_call_sender.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -102,6 +103,41 @@
     )
 
 
+def get_latest_start(call: RoutedCall, now: float) -> float:
+    """Returns the event loop's time until which a request may wait for a rate limit.
+
+    Later, its response would miss the target latency in any case.
+    """
+    return min(call.deadline, now + call.route.target_latency)
+
+
+async def wait_for_slot(
+    balancer: LoadBalancer, service: ServiceName, latest: float
+) -> bool:
+    """Waits until a rate limit allows a request to a service.
+
+    Args:
+        balancer: Knows the limits.
+        service: The service.
+        latest: Time after which the request must not wait, in the event loop's time.
+
+    Returns:
+        Whether the request may be sent now; False without a wait if no slot follows
+        in time or the service has no rate limit.
+    """
+    delay = balancer.get_slot_delay(service)
+    if not 0.0 < delay < latest - asyncio.get_running_loop().time():
+        return False
+    await asyncio.sleep(delay)
+    return True
+
+
+def get_retry_delay(balancer: LoadBalancer, service: ServiceName) -> float:
+    """Returns the seconds after which a client may retry a request that was not run."""
+    delay = balancer.get_slot_delay(service)
+    return max(RETRY_AFTER_SECONDS, delay) if delay < math.inf else RETRY_AFTER_SECONDS
+
+
 class _PendingCall:
     """One request and its attempts at upstreams.
 
@@ -135,8 +171,13 @@
 
     async def run(self) -> UpstreamResponse:
         loop = asyncio.get_running_loop()
+        balancer = self.sender.balancer
+        balancer.rate_limits.record_request(self.service)
+        latest_start = get_latest_start(self.call, loop.time())
         try:
-            self._start()
+            while not self._start():
+                if not await wait_for_slot(balancer, self.service, latest_start):
+                    break
             while self.running:
                 remaining = self.call.deadline - loop.time()
                 if remaining <= 0:
@@ -209,8 +250,7 @@
         # Whether the request ran is then unknown, and one that must not run twice
         # could not be retried, so it gets a new connection.
         def record_head(response: HTTPResponse) -> None:
-            permit.confirm_arrival()
-            balancer.record_head(upstream, decode_response_head(response))
+            balancer.record_head(upstream, decode_response_head(response), permit)
 
         response = await self.sender.pool.send(
             upstream.address,
@@ -332,7 +372,7 @@
             return BuckthornstileError(
                 ErrorCode.NO_UPSTREAM,
                 f"no upstream of service {self.service!r} accepted the request",
-                retry_after=RETRY_AFTER_SECONDS,
+                retry_after=get_retry_delay(self.sender.balancer, self.service),
             )
         if (
             self.last_error is not None
--- a/buckthornstile/gateway/_item_runner.py
+++ b/buckthornstile/gateway/_item_runner.py
@@ -201,9 +201,8 @@
                 return False
 
     def _on_headers(self, response: HTTPResponse) -> None:
-        self.permit.confirm_arrival()
         self.head = decode_response_head(response)
-        self.runner.balancer.record_head(self.upstream, self.head)
+        self.runner.balancer.record_head(self.upstream, self.head, self.permit)
         if self.head.status != 200 or self.head.is_refusal:
             return
         if self.head.has_content_encoding:
--- a/buckthornstile/gateway/_job_manager.py
+++ b/buckthornstile/gateway/_job_manager.py
@@ -7,6 +7,7 @@
     BuckthornstileError,
     KeyId,
     ProcessName,
+    ServiceName,
 )
 from buckthornstile.gateway._item_execution import JobDependencies
 from buckthornstile.gateway._job_runner import JobRunner
@@ -96,6 +97,10 @@
         """Returns the number of jobs that this process runs."""
         return len(self._runners)
 
+    def count_waiting(self, service: ServiceName) -> int:
+        """Returns the number of items that wait to be sent to a service."""
+        return sum(runner.count_waiting(service) for runner in self._runners.values())
+
     def stop_all(self) -> None:
         """Stops all runners and claims no further jobs."""
         self.is_leaving = True
--- a/buckthornstile/gateway/_job_runner.py
+++ b/buckthornstile/gateway/_job_runner.py
@@ -4,7 +4,7 @@
 import contextlib
 from collections.abc import Callable, Iterator, Sequence
 
-from buckthornstile.base import PlatformUnavailableError, UpstreamId
+from buckthornstile.base import PlatformUnavailableError, ServiceName, UpstreamId
 from buckthornstile.gateway._item_execution import (
     ItemExecution,
     JobContext,
@@ -83,6 +83,12 @@
         """Cancels all runs; other processes run the items that have no result yet."""
         self._task.cancel()
 
+    def count_waiting(self, service: ServiceName) -> int:
+        """Returns the number of items that wait to be sent to a service."""
+        route = self.context.find_route()
+        names = [name for name, _ in route.services] if route is not None else []
+        return len(self._pending) if service in names else 0
+
     async def _run(self) -> None:
         log_event(
             "job.run",
@@ -149,7 +155,9 @@
                 upstream = self._choose_upstream(execution, route)
                 if upstream is not None and route is not None:
                     self._pending.remove(execution)
-                    permit = self.dependencies.balancer.acquire_permit(upstream)
+                    balancer = self.dependencies.balancer
+                    balancer.rate_limits.record_request(upstream.service)
+                    permit = balancer.acquire_permit(upstream)
                     task = group.create_task(run(execution, upstream, route, permit))
                     task.add_done_callback(permit.release_when_done)
             await self._wait_for_change()
--- a/buckthornstile/gateway/_load_balancer.py
+++ b/buckthornstile/gateway/_load_balancer.py
@@ -1,11 +1,12 @@
 """The load balancer: statistics of each upstream, and the choice between upstreams."""
 
+import math
 from collections import deque
 from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
 
 from buckthornstile.base import ServiceName, UpstreamId
-from buckthornstile.logs import log_event
+from buckthornstile.gateway._rate_limits import RateLimits
 from buckthornstile.messages import ResponseHead, UpstreamLoad
 from buckthornstile.routing import compute_rendezvous_score
 from buckthornstile.topology import TopologyView, Upstream
@@ -36,11 +37,6 @@
 """Seconds for which a request at a cold upstream counts after it is known to have
 arrived: one second and a margin for differences between clocks."""
 
-RATE_LOG_WINDOW = 4.0
-"""Seconds over which this process's requests are counted in the log of a rate limit."""
-MAX_START_TIMES = 256
-"""Number of latest starts that are kept for each upstream."""
-
 
 @dataclass(slots=True)
 class UpstreamStats:
@@ -62,9 +58,6 @@
             the upstream; counted only for services with a cold rate.
         arrival_times: Times at which requests were known to have arrived, within
             ``COLD_WINDOW``, in seconds.
-        rate_limit: Requests per second that it accepts from all processes together, as
-            it stated last, or None for no limit.
-        start_times: Times at which this process sent its latest requests, in seconds.
     """
 
     started_at_ms: int
@@ -79,14 +72,6 @@
     refused_until: float = 0.0
     unconfirmed_start_count: int = 0
     arrival_times: deque[float] = field(default_factory=deque)
-    rate_limit: float | None = None
-    start_times: deque[float] = field(
-        default_factory=lambda: deque(maxlen=MAX_START_TIMES)
-    )
-
-    def count_starts(self, since: float) -> int:
-        """Counts this process's requests that were sent at a time or later."""
-        return sum(1 for started_at in self.start_times if started_at >= since)
 
     def count_recent_starts(self, now: float) -> int:
         """Counts the requests that may have arrived in the last ``COLD_WINDOW``.
@@ -107,6 +92,7 @@
         stats: Statistics of the upstream, where the request is counted as open.
         clock: Returns the monotonic time in seconds.
         is_rate_limited: Whether the request counts against a cold upstream's limit.
+        acquired_at: Time before which the request was not sent, in seconds.
     """
 
     def __init__(
@@ -115,10 +101,12 @@
         clock: Callable[[], float],
         *,
         is_rate_limited: bool = False,
+        acquired_at: float = 0.0,
     ) -> None:
         self._stats: UpstreamStats | None = stats
         self._clock = clock
         self._is_unconfirmed = is_rate_limited
+        self.acquired_at = acquired_at
 
     def confirm_arrival(self) -> None:
         """Records that the request has arrived; only the first call has an effect."""
@@ -147,6 +135,7 @@
         clock: Returns the monotonic time in seconds.
         list_entries: Returns the names of the entries that may be sending now.
         name: This process's name; decides its share of a cold upstream's rate limit.
+        rate_limits: This process's shares of the limits that upstreams state.
         cold_rate_factor: Factor applied to a cold upstream's rate to get its limit.
         cold_rate_slack: Requests per second that are added to that limit.
         default_cold_rate: Requests per second that a cold upstream can serve if its
@@ -161,6 +150,7 @@
         *,
         list_entries: Callable[[], list[str]],
         name: str,
+        rate_limits: RateLimits,
         cold_rate_factor: float = 1.0,
         cold_rate_slack: float = 0.0,
         default_cold_rate: float = 0.0,
@@ -172,6 +162,7 @@
         self.clock = clock
         self.list_entries = list_entries
         self.name = name
+        self.rate_limits = rate_limits
         self.cold_rate_factor = cold_rate_factor
         self.cold_rate_slack = cold_rate_slack
         self._stats_by_upstream: dict[UpstreamId, UpstreamStats] = {}
@@ -193,6 +184,26 @@
                 and not self._stats_by_upstream[name].open_request_count
             ):
                 del self._stats_by_upstream[name]
+        self.rate_limits.prune(self.view.upstreams.keys())
+
+    def list_limited_services(self) -> set[ServiceName]:
+        """Returns the services of the upstreams whose rate limit is in effect."""
+        return {
+            upstream.service
+            for upstream in self.view.upstreams.values()
+            if self.rate_limits.is_limited(upstream)
+        }
+
+    def get_slot_delay(self, service: ServiceName) -> float:
+        """Returns the seconds until a rate limit allows a request to a service.
+
+        The delay is 0 if an upstream may get one now, and infinite if none may soon.
+        """
+        delays = (
+            self.rate_limits.get_slot_delay(upstream)
+            for upstream in self.view.list_available_upstreams(service)
+        )
+        return min(delays, default=math.inf)
 
     def pick(
         self,
@@ -219,6 +230,7 @@
             for candidate in self.view.list_available_upstreams(service)
             if (is_eligible is None or is_eligible(candidate))
             and self.is_below_cold_limit(candidate, now)
+            and self.rate_limits.has_slot(candidate)
         ]
         if not usable:
             return None
@@ -280,6 +292,7 @@
             if peer.id != upstream.id
             and self.get_stats(peer).ejected_until <= now
             and self.has_capacity(peer)
+            and self.rate_limits.has_slot(peer)
         ]
         median = self.compute_median_latency(peers)
         return median is not None and latency > SLOW_LATENCY_RATIO * median
@@ -350,16 +363,27 @@
         stats = self.get_stats(upstream)
         is_rate_limited = self._get_cold_rate(upstream) > 0
         stats.open_request_count += 1
-        stats.start_times.append(self.clock())
+        self.rate_limits.take_slot(upstream)
         if is_rate_limited:
             stats.unconfirmed_start_count += 1
-        return Permit(stats, self.clock, is_rate_limited=is_rate_limited)
+        return Permit(
+            stats,
+            self.clock,
+            is_rate_limited=is_rate_limited,
+            acquired_at=self.clock(),
+        )
 
-    def record_head(self, upstream: Upstream, head: ResponseHead) -> None:
+    def record_head(
+        self, upstream: Upstream, head: ResponseHead, permit: Permit
+    ) -> None:
         """Records what an upstream stated about itself in the head of a response."""
+        permit.confirm_arrival()
         if head.load is not None:
             self.record_load(upstream, head.load)
-        self._record_rate_limit(upstream, head)
+        if head.rate_limit is not None or not head.is_refusal:
+            self.rate_limits.record_statement(
+                upstream, head.rate_limit, sent_at=permit.acquired_at
+            )
 
     def record_load(self, upstream: Upstream, load: UpstreamLoad) -> None:
         """Records the load that an upstream reported."""
@@ -367,20 +391,6 @@
         stats.load, stats.load_received_at = load, self.clock()
         stats.own_requests_at_load = stats.open_request_count
 
-    def _record_rate_limit(self, upstream: Upstream, head: ResponseHead) -> None:
-        stats = self.get_stats(upstream)
-        if head.rate_limit is None and head.is_refusal:
-            return
-        if head.rate_limit != stats.rate_limit:
-            log_event(
-                "upstream.rate_limit",
-                upstream=upstream.id,
-                limit=head.rate_limit,
-                previous=stats.rate_limit,
-                recent_starts=stats.count_starts(self.clock() - RATE_LOG_WINDOW),
-            )
-        stats.rate_limit = head.rate_limit
-
     def record_activity(self, upstream: Upstream) -> None:
         """Records that an upstream sent data."""
         self.get_stats(upstream).last_active_at = self.clock()
--- /dev/null
+++ b/buckthornstile/gateway/_rate_records.py
@@ -0,0 +1,85 @@
+"""Records by which entries tell each other upstreams' rate limits and their demand."""
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from buckthornstile.base import ProcessName, ServiceName, UpstreamId
+
+
+@dataclass(frozen=True, slots=True)
+class LimitStatement:
+    """What one incarnation of an upstream last stated about its rate limit.
+
+    Attributes:
+        started_at_ms: Start of the incarnation, in milliseconds since the epoch.
+        limit: Requests per second from all processes together, or None for no limit.
+        stated_at: Time of the response with the statement, in seconds.
+    """
+
+    started_at_ms: int
+    limit: float | None
+    stated_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class RateRecord:
+    """A process's demand, and the statements that it received.
+
+    Attributes:
+        name: Name of the process.
+        demands: Requests per second that the process would send to each service.
+        statements: Recent statements; ``stated_at`` is the negated age in seconds.
+    """
+
+    name: ProcessName
+    demands: Mapping[ServiceName, float] = field(default_factory=dict)
+    statements: Mapping[UpstreamId, LimitStatement] = field(default_factory=dict)
+
+    def encode(self) -> bytes:
+        """Returns the record as bytes."""
+        statements = {
+            upstream: [
+                statement.started_at_ms,
+                statement.limit,
+                round(statement.stated_at, 3),
+            ]
+            for upstream, statement in self.statements.items()
+        }
+        demands = {service: round(rate, 2) for service, rate in self.demands.items()}
+        data = {"name": self.name, "demands": demands, "limits": statements}
+        return json.dumps(data).encode()
+
+
+def decode_rate_record(data: bytes) -> RateRecord | None:
+    """Decodes a record.
+
+    Returns:
+        The record, or None if the data is a record of another kind.
+
+    Raises:
+        ValueError: The record is malformed.
+    """
+    fields = json.loads(data)
+    if not isinstance(fields, dict):
+        return None
+    try:
+        return RateRecord(
+            ProcessName(fields["name"]),
+            {
+                ServiceName(service): max(0.0, float(rate))
+                for service, rate in fields["demands"].items()
+            },
+            {
+                UpstreamId(upstream): LimitStatement(
+                    int(started_at_ms),
+                    None if limit is None else max(0.0, float(limit)),
+                    min(0.0, float(negated_age)),
+                )
+                for upstream, (started_at_ms, limit, negated_age) in fields[
+                    "limits"
+                ].items()
+            },
+        )
+    except (KeyError, TypeError, AttributeError, OverflowError) as error:
+        raise ValueError(f"malformed rate record: {error}") from error
--- a/buckthornstile/gateway/_stream_proxy.py
+++ b/buckthornstile/gateway/_stream_proxy.py
@@ -13,9 +13,11 @@
 from buckthornstile.gateway._call_sender import (
     MAX_REFUSALS,
     REFUSAL_PAUSE,
-    RETRY_AFTER_SECONDS,
     CallSender,
+    get_latest_start,
+    get_retry_delay,
     is_stale_configuration_error,
+    wait_for_slot,
 )
 from buckthornstile.gateway._load_balancer import LoadBalancer, Permit
 from buckthornstile.http_client import ConnectionPool, HTTPResponse
@@ -176,9 +178,8 @@
         await asyncio.wait({self.task})
 
     def _on_headers(self, response: HTTPResponse) -> None:
-        self.permit.confirm_arrival()
         self.head = decode_response_head(response)
-        self.proxy.balancer.record_head(self.upstream, self.head)
+        self.proxy.balancer.record_head(self.upstream, self.head, self.permit)
         self.head_or_end.set()
 
     def _on_data(self, chunk: bytes) -> Awaitable[None] | None:
@@ -233,6 +234,12 @@
         self.started_at = asyncio.get_running_loop().time()
 
     async def open(self) -> Response | StreamingResponse:
+        balancer = self.proxy.balancer
+        balancer.rate_limits.record_request(self.service)
+        latest_start = get_latest_start(self.call, self.started_at)
+        while balancer.pick(self.service, avoided=self.tried) is None:
+            if not await wait_for_slot(balancer, self.service, latest_start):
+                break
         while True:
             run = self._start()
             is_proxied = False
@@ -405,7 +412,9 @@
 
     def _make_error(self, code: ErrorCode, message: str) -> BuckthornstileError:
         verdict = Verdict.MAY_HAVE_RUN if self.may_have_run else Verdict.NOT_RUN
-        retry_after = None if self.may_have_run else RETRY_AFTER_SECONDS
+        retry_after = None
+        if not self.may_have_run:
+            retry_after = get_retry_delay(self.proxy.balancer, self.service)
         return BuckthornstileError(
             code, message, verdict=verdict, retry_after=retry_after
         )
