Keep every entry in the count of senders while the store cannot be read

What callers saw: nothing. Cause: the silence of the others was measured against the clock, not against the last time at which their records could be read. Change: silence counts up to the last read that reached the topic's end, also for the removal of processes after 30 s. The second test shows that an entry that is silent while the store is read still loses its share.

--- a/buckthornstile/gateway/_presence.py
+++ b/buckthornstile/gateway/_presence.py
@@ -139,10 +139,15 @@
             is_previous_process = (
                 peer.record.node == record.node and name != record.name
             )
-            if is_previous_process or now - peer.last_seen_at > PEER_RETENTION_TIME:
+            silence = self._get_last_read_time() - peer.last_seen_at
+            if is_previous_process or silence > PEER_RETENTION_TIME:
                 del self._peers[name]
         self._peers[record.name] = _Peer(record, now)
 
+    def _get_last_read_time(self) -> float:
+        """Returns the time of the last read that reached the topic's end."""
+        return self.clock() if self._caught_up_at is None else self._caught_up_at
+
     def list_live(self) -> list[ProcessName]:
         """Returns the processes that are live and not leaving."""
         oldest_time = self.clock() - PRESENCE_TIMEOUT
@@ -183,8 +188,12 @@
         return name in self._peers
 
     def list_possibly_live(self) -> list[ProcessName]:
-        """Returns the processes that may still be sending requests to upstreams."""
-        oldest_time = self.clock() - MAX_SENDING_TIME
+        """Returns the processes that may still be sending requests to upstreams.
+
+        While this process cannot read the topic, none is dropped: the silence says
+        nothing about them, and each would take the shares of the others.
+        """
+        oldest_time = self._get_last_read_time() - MAX_SENDING_TIME
         return [
             name
             for name, peer in self._peers.items()
