Give an entry that the others do not know no share of a cold upstream's limit

What callers saw: nothing. An entry that has just started divided a cold upstream's limit by the entries that it knew, at first none, and could send the whole limit while the others did the same. Cause: as with the stated rate limits, the share was computed from a list of entries that did not hold the entry itself. Change: no share until the entry has read its own presence record. Evidence: the new test sends nothing from an entry that knows no entry, or only others; before, all three cases sent a request. The tests of entry pass.

--- a/buckthornstile/entry/tests/test_load_balancer.py
+++ b/buckthornstile/entry/tests/test_load_balancer.py
@@ -174,6 +174,16 @@
         setup.balancer.acquire_permit(upstream).release()
 
 
+@pytest.mark.parametrize("known", [[], ["e1"], ["e1", "e2"]])
+def test_entry_that_the_others_do_not_know_sends_nothing_to_a_cold_upstream(
+    known: list[str],
+) -> None:
+    """An entry that has just started would otherwise take a share that is in use."""
+    setup = BalancerSetup(upstreams=1, cold=60.0)
+    setup.balancer.list_entries = lambda: known
+    assert setup.balancer.pick("desk") is None
+
+
 def test_least_loaded_upstream_is_picked() -> None:
     setup = BalancerSetup()
     for name in ("w0", "w1"):
--- a/buckthornstile/gateway/_load_balancer.py
+++ b/buckthornstile/gateway/_load_balancer.py
@@ -347,8 +347,11 @@
 
     def _get_cold_limit_share(self, upstream: Upstream, rate: float) -> int:
         entries = self.list_entries()
+        if self.name not in entries:
+            # The others do not know this process yet and have divided the whole limit.
+            return 0
         limit = int(rate * self.cold_rate_factor + self.cold_rate_slack)
-        share = limit // max(1, len(entries))
+        share = limit // len(entries)
         if share:
             return share
         ranked = sorted(
