Log the fingerprint of a request whose attempt failed

Cause: a request that crashes upstreams comes again under another id, at another entry. The logs named ids only, so that one request that failed everywhere could not be told from many requests that met the same failing upstreams. Change: call.attempt_failed and stream.run_failed hold a digest of account, method, host, path, query and body.

--- a/buckthornstile/gateway/_call_sender.py
+++ b/buckthornstile/gateway/_call_sender.py
@@ -15,6 +15,7 @@
     UpstreamId,
     Verdict,
 )
+from buckthornstile.gateway._fingerprint import compute_fingerprint
 from buckthornstile.gateway._load_balancer import LoadBalancer, Permit
 from buckthornstile.http_client import ConnectionPool, HTTPResponse
 from buckthornstile.logs import log_event
@@ -300,6 +301,7 @@
             "call.attempt_failed",
             request=self.call.request.id,
             upstream=attempt.upstream.id,
+            fingerprint=compute_fingerprint(self.call),
             error=error.code.value,
             reason=error.message,
             verdict=error.verdict.value,
--- a/buckthornstile/gateway/_stream_proxy.py
+++ b/buckthornstile/gateway/_stream_proxy.py
@@ -19,6 +19,7 @@
     is_stale_configuration_error,
     wait_for_slot,
 )
+from buckthornstile.gateway._fingerprint import compute_fingerprint
 from buckthornstile.gateway._load_balancer import LoadBalancer, Permit
 from buckthornstile.http_client import ConnectionPool, HTTPResponse
 from buckthornstile.logs import log_event
@@ -331,6 +332,7 @@
             "stream.run_failed",
             request=self.call.request.id,
             upstream=run.upstream.id,
+            fingerprint=compute_fingerprint(self.call),
             last_event=self.last_event_id,
             reason=error or "silent",
         )
