--- a/buckthornstile/entry/tests/in_process.py
+++ b/buckthornstile/entry/tests/in_process.py
@@ -38,6 +38,10 @@
         return probe.getsockname()[1]
 
 
+RESTART_SECONDS = 0.4
+"""Seconds after a crash at which a worker starts again."""
+
+
 class InProcessWorker:
     """A stand-in worker, with its registration in the store."""
 
@@ -53,6 +57,17 @@
         self.faults: FaultInjector = self.application.faults  # type: ignore[attr-defined]
         self.port = 0
         self.server: HTTPServer | None = None
+        self.start_count = 0
+        self.state.crash = self._crash
+
+    def _crash(self) -> None:
+        """Ends the worker and starts it again after ``RESTART_SECONDS``."""
+        if self.server is not None:
+            server, self.server = self.server, None
+            server.stop()
+            loop = asyncio.get_running_loop()
+            loop.create_task(server.close_all_connections())
+            loop.call_later(RESTART_SECONDS, self.start)
 
     def start(self) -> None:
         """Starts to listen and writes the registration."""
@@ -60,7 +75,8 @@
         self.port = sockets[0].getsockname()[1]
         self.server = HTTPServer(self.application)
         self.server.add_sockets(sockets)
-        self.write_registration()
+        self.start_count += 1
+        self.write_registration(born=self.start_count)
 
     def write_registration(self, **changes: Any) -> None:
         """Writes the registration record of the worker, with some fields changed."""
--- a/standins/worker/_application.py
+++ b/standins/worker/_application.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -39,6 +40,8 @@
         load_seconds: Seconds that loading a version takes.
         rate_limit: Requests per second that the worker states as its limit in all
             responses, or None.
+        deadly_body: Body of the requests that crash the worker, or None.
+        crash: Ends the worker, if it has a deadly body.
     """
 
     id: str
@@ -52,6 +55,8 @@
     is_loading: bool = False
     load_seconds: float = DEFAULT_LOAD_SECONDS
     rate_limit: float | None = None
+    deadly_body: bytes | None = None
+    crash: Callable[[], None] = lambda: None
 
 
 class WorkerHandler(web.RequestHandler):
@@ -126,6 +131,10 @@
             finished=False,
         )
         self.set_header("Server-Stamp", f"{self.state.id}.{len(self.journal.entries)}")
+        if self.request.body == self.state.deadly_body:
+            self.state.crash()
+            drop_connection(self)
+            return
         if fault := self.faults.consume("silent"):
             await asyncio.sleep(fault.seconds)
         if self.faults.consume("reset"):
