Quarantine requests under which upstreams crash

Cause: failures were remembered for each upstream, and not for the request. A request that crashes what runs it was retried, hedged and, when its client came again, sent anew by any entry. The class of fault: retries whose budget belongs to one attempt of one client at one entry, while the harm adds up over all of them. Change: a request is recognized by a digest of account, method, host, path, query and body. If its connection breaks and the upstream then refuses a new connection, the upstream has crashed under it. Two incarnations that crashed and no response from any put it in quarantine for 10 s, each further crash for 600 s and twice as long; entries refuse it at once, as not run, with the rest of the time as Retry-After. A suspect is not hedged. Any response clears it. Crashes are keys of a topic of their own in the store, so that entries add to each other's counts and one that has just started knows them; it is not ready before. Items and the calls that score them are never refused, as they are still owed. Ruled out: broken connections alone as proof (lost answers and resets look the same); the upstream's record in the store (it lapses after 3 s, too late); a presence record (an entry that starts later would not know it). Why it works: at most three crashes are needed at any number of entries before all of them refuse, and further sends are 600 s apart.

--- a/buckthornstile/base/_errors.py
+++ b/buckthornstile/base/_errors.py
@@ -28,6 +28,8 @@
     DEADLINE_PASSED = "request.deadline_passed"
     CANCELLED = "request.cancelled"
     DUPLICATE_IN_FLIGHT = "request.duplicate_in_flight"
+    # Upstreams that ran the same request have crashed.
+    QUARANTINED = "request.quarantined"
     # Keys
     KEY_MISSING = "key.missing"
     KEY_UNKNOWN = "key.unknown"
--- a/buckthornstile/entry/_components.py
+++ b/buckthornstile/entry/_components.py
@@ -9,12 +9,15 @@
 from buckthornstile.entry._presence_publisher import PresencePublisher
 from buckthornstile.gateway import (
     CallSender,
+    CrashDetector,
+    CrashLog,
     JobStore,
     LeaseHolderTasks,
     LeaseManager,
     LoadBalancer,
     ModelLoadDispatcher,
     PartitionAssignment,
+    Quarantine,
     RateLimits,
     StreamProxy,
     TopologyWatcher,
@@ -23,6 +26,7 @@
 from buckthornstile.http_client import ConnectionPool
 from buckthornstile.jobs import Job
 from buckthornstile.platform import DutyClient, StoreClient
+from buckthornstile.routing import compute_rendezvous_score
 from buckthornstile.settings import EntrySettings
 from buckthornstile.topology import TopologyView
 
@@ -52,6 +56,7 @@
     topology_watcher: TopologyWatcher
     sender: CallSender
     stream_proxy: StreamProxy
+    crash_log: CrashLog
 
 
 def make_upstream_components(
@@ -99,11 +104,30 @@
         heartbeat_interval=settings.heartbeat,
     )
     random_source = random.Random(resources.name)
+    crash_log = CrashLog(
+        resources.store,
+        Quarantine(),
+        clock=resources.clock,
+        wall_clock=resources.wall_clock,
+        is_cleaner=lambda key: (
+            resources.name
+            == max(
+                list_possibly_live(),
+                key=lambda name: compute_rendezvous_score(key, name),
+                default=resources.name,
+            )
+        ),
+    )
     sender = CallSender(
-        balancer, pool, random_source=random_source, on_executed=on_executed
+        balancer,
+        pool,
+        crash_detector=CrashDetector(crash_log, pool),
+        random_source=random_source,
+        on_executed=on_executed,
     )
+    stream_proxy = StreamProxy(sender, balancer, pool)
     return UpstreamComponents(
-        balancer, topology_watcher, sender, StreamProxy(sender, balancer, pool)
+        balancer, topology_watcher, sender, stream_proxy, crash_log
     )
 
 
--- a/buckthornstile/entry/_daemon.py
+++ b/buckthornstile/entry/_daemon.py
@@ -168,6 +168,8 @@
         """Whether the external load balancer may send new clients to this entry."""
         if self.is_stopping or not self.job_store.is_loaded():
             return False
+        if not self.crash_log.consumer.is_loaded:
+            return False
         ages = []
         if self.settings.client_address:
             if not self.topology_watcher.is_loaded():
@@ -230,6 +232,7 @@
             self.job_manager.run,
             self.presence_publisher.consumer.run,
             self.presence_publisher.run,
+            self.crash_log.run,
             self._probe_store,
         ]
         if self.configuration is not None:
@@ -249,6 +252,7 @@
             components.topology_watcher,
         )
         self.sender, self.stream_proxy = components.sender, components.stream_proxy
+        self.crash_log = components.crash_log
 
     def _make_job_components(self) -> None:
         self.assignment = PartitionAssignment(self.name, self.presence)
@@ -403,6 +407,9 @@
             "jobs_running": self.job_manager.count_running(),
             "jobs_kept": len(self.job_store.table.jobs),
             "upstreams_known": len(self.view.upstreams),
+            "requests_quarantined": self.crash_log.quarantine.count_quarantined(
+                self.get_wall_time()
+            ),
             "upstreams_rate_limited": self.balancer.rate_limits.count_limited(),
             "configuration_version": getattr(self.view.configuration, "version", 0),
             "configuration_revision": revision,
--- a/buckthornstile/entry/tests/test_load_balancer.py
+++ b/buckthornstile/entry/tests/test_load_balancer.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from buckthornstile.gateway import CrashDetector, CrashLog, Quarantine
 from buckthornstile.gateway._call_sender import CallSender
 from buckthornstile.gateway._load_balancer import LoadBalancer, Permit
 from buckthornstile.gateway._rate_limits import RateLimits
@@ -125,6 +126,17 @@
         raise AssertionError("unreachable")
 
 
+def make_idle_crash_detector(pool: BlockedPool) -> CrashDetector:
+    crash_log = CrashLog(
+        None,
+        Quarantine(),
+        clock=lambda: 0.0,
+        wall_clock=lambda: 0.0,
+        is_cleaner=lambda key: False,
+    )
+    return CrashDetector(crash_log, pool)
+
+
 def test_calls_of_one_event_loop_turn_stay_within_the_limit_of_a_cold_upstream() -> (
     None
 ):
@@ -135,6 +147,7 @@
         sender = CallSender(
             setup.balancer,
             pool,
+            crash_detector=make_idle_crash_detector(pool),
             random_source=random.Random(7),
             on_executed=lambda account, seconds: None,
         )
--- a/buckthornstile/gateway/__init__.py
+++ b/buckthornstile/gateway/__init__.py
@@ -1,6 +1,8 @@
 """The core of an entry: calls, streams, batch jobs and tasks of the lease holder."""
 
 from buckthornstile.gateway._call_sender import CallSender
+from buckthornstile.gateway._crash_detection import CrashDetector
+from buckthornstile.gateway._crash_log import CrashLog
 from buckthornstile.gateway._handlers import (
     KEY_BOUND_FRACTION,
     ClientHandlers,
@@ -26,6 +28,7 @@
     PresenceTable,
     decode_presence,
 )
+from buckthornstile.gateway._quarantine import Quarantine
 from buckthornstile.gateway._rate_limits import RateLimits
 from buckthornstile.gateway._rate_records import RateRecord, decode_rate_record
 from buckthornstile.gateway._store_proxy import StoreProxy, StoreProxySelector
@@ -39,6 +42,8 @@
     "PRESENCE_TOPIC",
     "CallSender",
     "ClientHandlers",
+    "CrashDetector",
+    "CrashLog",
     "LeaseHolderTasks",
     "LoadBalancer",
     "PartitionAssignment",
@@ -52,6 +57,7 @@
     "PeerClient",
     "PresenceRecord",
     "PresenceTable",
+    "Quarantine",
     "RateLimits",
     "RateRecord",
     "StreamProxy",
--- a/buckthornstile/gateway/_call_sender.py
+++ b/buckthornstile/gateway/_call_sender.py
@@ -15,6 +15,7 @@
     UpstreamId,
     Verdict,
 )
+from buckthornstile.gateway._crash_detection import CrashDetector
 from buckthornstile.gateway._fingerprint import compute_fingerprint
 from buckthornstile.gateway._load_balancer import LoadBalancer, Permit
 from buckthornstile.http_client import ConnectionPool, HTTPResponse
@@ -60,6 +61,7 @@
     Args:
         balancer: Chooses upstreams.
         pool: Connections to them.
+        crash_detector: Refuses requests that crash upstreams.
         random_source: Source of randomness for the choice of a service.
         on_executed: Called when an upstream has run an account's request, with the
             account and the seconds that the execution took.
@@ -70,11 +72,13 @@
         balancer: LoadBalancer,
         pool: ConnectionPool,
         *,
+        crash_detector: CrashDetector,
         random_source: random.Random,
         on_executed: OnExecuted,
     ) -> None:
         self.balancer = balancer
         self.pool = pool
+        self.crash_detector = crash_detector
         self.random_source = random_source
         self.on_executed = on_executed
 
@@ -152,6 +156,7 @@
         failed_response: The last response with a server error, returned if no other
             attempt succeeds.
         last_error: The last error of an attempt.
+        failures: Attempts that failed and have not been examined for a crash.
         can_hedge: Whether hedges are allowed; False for a request that is not
             idempotent, and after no upstream was available for a hedge.
     """
@@ -167,6 +172,7 @@
         self.may_have_run = False
         self.failed_response: UpstreamResponse | None = None
         self.last_error: BuckthornstileError | None = None
+        self.failures: list[tuple[Upstream, BaseException]] = []
         self.can_hedge = self.is_idempotent
         self.service = sender.choose_service(call.route)
 
@@ -175,6 +181,7 @@
         balancer = self.sender.balancer
         balancer.rate_limits.record_request(self.service)
         latest_start = get_latest_start(self.call, loop.time())
+        self.sender.crash_detector.check_allowed(self.call)
         try:
             while not self._start():
                 if not await wait_for_slot(balancer, self.service, latest_start):
@@ -194,6 +201,7 @@
                 response = self._collect_response(done)
                 if response is not None:
                     return response
+                await self._detect_crashes()
                 if done and self._may_retry():
                     self._start()
                 elif not done and loop.time() < self.call.deadline:
@@ -282,7 +290,13 @@
                 best = self._evaluate_response(attempt, task.result()) or best
         return best
 
+    async def _detect_crashes(self) -> None:
+        while self.failures:
+            upstream, error = self.failures.pop()
+            await self.sender.crash_detector.record_failure(self.call, upstream, error)
+
     def _record_error(self, attempt: _Attempt, error: BaseException) -> None:
+        self.failures.append((attempt.upstream, error))
         if not is_stale_configuration_error(error):
             self.sender.balancer.record_failure(attempt.upstream)
         if not isinstance(error, BuckthornstileError):
@@ -320,6 +334,7 @@
                 balancer.record_refusal(attempt.upstream, REFUSAL_PAUSE)
             return None
         self.may_have_run = True
+        self.sender.crash_detector.record_response(self.call)
         if head.has_content_encoding or (head.status < 300 and not head.signature):
             balancer.record_failure(attempt.upstream)
             return None
@@ -337,10 +352,14 @@
             return False
         if not self.is_idempotent and self.may_have_run:
             return False
+        if self.sender.crash_detector.get_remaining_time(self.call):
+            return False
         return self.run_count < max(1, self.call.route.max_attempts)
 
     def _may_hedge(self) -> bool:
         """Whether the request may be sent again while an attempt is running."""
+        if self.sender.crash_detector.is_suspect(self.call):
+            return False
         return self.can_hedge and self.run_count < self.call.route.max_attempts
 
     def _get_hedge_delay(self) -> float:
--- a/buckthornstile/gateway/_item_execution.py
+++ b/buckthornstile/gateway/_item_execution.py
@@ -331,7 +331,7 @@
             body=call.body,
         )
         deadline = asyncio.get_running_loop().time() + SCORE_TIMEOUT
-        routed_call = RoutedCall(request, route, None, deadline)
+        routed_call = RoutedCall(request, route, None, deadline, is_item_call=True)
         try:
             response = await self.context.dependencies.sender.send(routed_call)
         except BuckthornstileError as error:
--- a/buckthornstile/gateway/_stream_proxy.py
+++ b/buckthornstile/gateway/_stream_proxy.py
@@ -237,6 +237,7 @@
     async def open(self) -> Response | StreamingResponse:
         balancer = self.proxy.balancer
         balancer.rate_limits.record_request(self.service)
+        self.proxy.sender.crash_detector.check_allowed(self.call)
         latest_start = get_latest_start(self.call, self.started_at)
         while balancer.pick(self.service, avoided=self.tried) is None:
             if not await wait_for_slot(balancer, self.service, latest_start):
@@ -247,14 +248,14 @@
             try:
                 head = await run.wait_for_head(self._get_idle_deadline())
                 if head is None:
-                    self._record_failure(run)
+                    await self._record_failure(run)
                 elif head.is_refusal:
                     self._record_refusal(run, head)
                 elif head.status != 200:
                     response = await self._read_complete(run)
                     return Response(head.status, bytes(response.body), head.headers)
                 elif head.has_content_encoding or not head.signature:
-                    self._record_failure(run)
+                    await self._record_failure(run)
                 else:
                     self.version = head.version
                     chunks = self._proxy_events(run)
@@ -282,6 +283,10 @@
                 ErrorCode.ANSWER_TRUNCATED,
                 "the stream ended early and cannot be resumed",
             )
+        if self.proxy.sender.crash_detector.get_remaining_time(self.call):
+            raise self._make_error(
+                ErrorCode.QUARANTINED, "upstreams that ran the same request crashed"
+            )
         upstream = None
         if has_runs_left and self.refusal_count < MAX_REFUSALS:
             upstream = balancer.pick(self.service, avoided=self.tried)
@@ -318,7 +323,7 @@
                 ErrorCode.DEADLINE_PASSED, "no complete response before the deadline"
             ) from error
 
-    def _record_failure(self, run: _Run) -> None:
+    async def _record_failure(self, run: _Run) -> None:
         error = run.get_error()
         if error is not None and is_stale_configuration_error(error):
             raise self._make_error(error.code, error.message)
@@ -336,6 +341,8 @@
             last_event=self.last_event_id,
             reason=error or "silent",
         )
+        crash_detector = self.proxy.sender.crash_detector
+        await crash_detector.record_failure(self.call, run.upstream, error)
 
     def _record_refusal(self, run: _Run, head: ResponseHead) -> None:
         self.run_count -= 1
@@ -355,9 +362,10 @@
                     yield chunk
                 if run.is_complete():
                     self.proxy.balancer.record_success(run.upstream)
+                    self.proxy.sender.crash_detector.record_response(self.call)
                     return
                 await run.cancel()
-                self._record_failure(run)
+                await self._record_failure(run)
                 run = await self._resume()
         finally:
             await run.cancel()
@@ -390,7 +398,7 @@
                 if head is not None and head.is_refusal:
                     self._record_refusal(run, head)
                 elif head is None or head.status != 200 or not head.signature:
-                    self._record_failure(run)
+                    await self._record_failure(run)
                 else:
                     return run
             except BaseException:
--- a/buckthornstile/http_client/_connection_pool.py
+++ b/buckthornstile/http_client/_connection_pool.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from tornado.httputil import HTTPHeaders
-from tornado.iostream import IOStream
+from tornado.iostream import IOStream, StreamClosedError
 
 from buckthornstile.base import BuckthornstileError, ErrorCode, Verdict, parse_integer
 from buckthornstile.http_client._exchange import (
@@ -115,6 +115,20 @@
             if not is_kept:
                 reset(stream)
 
+    async def refuses_connections(self, address: str, timeout: float) -> bool:
+        """Whether a peer refuses a new connection, as no process listens any more.
+
+        Args:
+            address: The peer, as ``IP:port``.
+            timeout: Seconds to wait; a peer that does not react does not refuse.
+        """
+        try:
+            stream = await _connect(address, timeout)
+        except BuckthornstileError as error:
+            return isinstance(error.__cause__, StreamClosedError)
+        stream.close()
+        return False
+
     def has_idle(self, address: str) -> bool:
         """Whether a request to a peer would probably reuse a connection."""
         idle = self._idle.get(address)
--- a/buckthornstile/messages/_types.py
+++ b/buckthornstile/messages/_types.py
@@ -212,7 +212,8 @@
 
     ``deadline`` is a time of the event loop's clock, in seconds. ``before_send`` is
     called just before each send and raises ``CONFIGURATION_OLD`` if the known keys and
-    upstreams are too stale.
+    upstreams are too stale. ``is_item_call`` is whether an item of a job needs the
+    request, which is then still owed if upstreams crashed while they ran it.
     """
 
     request: ClientRequest
@@ -220,3 +221,4 @@
     account: AccountId | None
     deadline: float
     before_send: Callable[[], None] | None = None
+    is_item_call: bool = False
