Follow the upstreams' registrations past any odd record

What operators of similar systems saw: machines that read the list ended again and again, or stopped following it. Here: an entry that read a registration with deep nesting or a number too large never read the list again; the task that reads it failed and was started anew at the same record. A port out of range raised an error that no caller expects. Cause: json raises RecursionError, int() raises OverflowError, and neither is a ValueError; numbers, ports and addresses were not checked against a range. The class of fault: a decoder that lists the errors it knows. Change: parse_json turns deep nesting into a ValueError wherever bytes come from outside. Numbers, port, address and texts of a registration are checked. A consumer passes over a record whose callback fails, with a log line, and its loop goes on after any error.

--- a/buckthornstile/api/_configuration.py
+++ b/buckthornstile/api/_configuration.py
@@ -4,7 +4,7 @@
 import json
 from collections.abc import Callable
 
-from buckthornstile.base import KeyId, Offset, ServiceName
+from buckthornstile.base import KeyId, Offset, ServiceName, parse_json
 from buckthornstile.configuration import (
     Configuration,
     ConfigurationState,
@@ -181,7 +181,7 @@
         if record.value is None:
             return
         try:
-            model, version = json.loads(record.value)
+            model, version = parse_json(record.value)
             version = int(version)
         except (ValueError, TypeError) as error:
             log_event("version.unreadable", trainer=record.key, reason=error)
--- a/buckthornstile/api/_requests.py
+++ b/buckthornstile/api/_requests.py
@@ -12,6 +12,7 @@
     ErrorCode,
     IdempotencyKey,
     get_http_status,
+    parse_json,
 )
 from buckthornstile.messages import Headers, Response, StreamingResponse
 
@@ -60,7 +61,7 @@
             BuckthornstileError: ``BODY_MALFORMED``: the body is not valid JSON.
         """
         try:
-            return json.loads(self.body)
+            return parse_json(self.body)
         except (ValueError, RecursionError) as error:
             raise BuckthornstileError(
                 ErrorCode.BODY_MALFORMED, "the body is not valid JSON"
--- a/buckthornstile/base/__init__.py
+++ b/buckthornstile/base/__init__.py
@@ -1,6 +1,11 @@
 """Identifiers, verdicts, error codes and checks that all packages use."""
 
-from buckthornstile.base._checks import check_name, check_range, parse_integer
+from buckthornstile.base._checks import (
+    check_name,
+    check_range,
+    parse_integer,
+    parse_json,
+)
 from buckthornstile.base._errors import (
     HTTP_STATUS,
     BuckthornstileError,
@@ -73,5 +78,6 @@
     "get_http_status",
     "make_request_id",
     "parse_integer",
+    "parse_json",
     "parse_request_id",
 ]
--- a/buckthornstile/base/_checks.py
+++ b/buckthornstile/base/_checks.py
@@ -1,5 +1,8 @@
 """Checks of parameters, with the name and the allowed range in the error text."""
 
+import json
+from typing import Any
+
 MAX_INTEGER_DIGITS = 18
 """Longest integer in a message; int() raises ValueError from a few thousand digits."""
 
@@ -68,6 +71,25 @@
         )
 
 
+def parse_json(data: bytes | bytearray | str) -> Any:
+    """Parses JSON from outside the process.
+
+    Raises:
+        ValueError: The data is not valid JSON, or is nested too deeply.
+
+    Example:
+        >>> parse_json(b"[1, null]")
+        [1, None]
+        >>> parse_json("[" * 100_000)
+        Traceback (most recent call last):
+        ValueError: the JSON text is nested too deeply
+    """
+    try:
+        return json.loads(data)
+    except RecursionError as error:
+        raise ValueError("the JSON text is nested too deeply") from error
+
+
 def parse_integer(value: str | None) -> int | None:
     """Returns a text as a non-negative integer, or None if it is not one.
 
--- a/buckthornstile/client/_errors.py
+++ b/buckthornstile/client/_errors.py
@@ -1,8 +1,6 @@
 """Parses the error responses of entries and creates the client's own errors."""
 
-import json
-
-from buckthornstile.base import BuckthornstileError, ErrorCode, Verdict
+from buckthornstile.base import BuckthornstileError, ErrorCode, Verdict, parse_json
 
 _CODES = {code.value: code for code in ErrorCode}
 _VERDICTS = {verdict.value: verdict for verdict in Verdict}
@@ -27,7 +25,7 @@
         True
     """
     try:
-        value = json.loads(body)
+        value = parse_json(body)
     except (ValueError, RecursionError):
         return None
     error = value.get("error") if isinstance(value, dict) else None
--- a/buckthornstile/client/_event_stream.py
+++ b/buckthornstile/client/_event_stream.py
@@ -1,9 +1,9 @@
 """Parses the event stream of an entry and checks that it is complete."""
 
 import hashlib
-import json
 from collections.abc import Iterator
 
+from buckthornstile.base import parse_json
 from buckthornstile.client._errors import make_truncated_error, parse_error
 
 MAX_EVENT_LINE_BYTES = 1 << 20
@@ -113,7 +113,7 @@
 
     def _check_end(self, payload: bytes) -> None:
         try:
-            end = json.loads(payload)
+            end = parse_json(payload)
             matches = end["length"] == self._length
             matches = matches and end["digest"] == self._digest.hexdigest()
         except (ValueError, KeyError, TypeError) as error:
--- a/buckthornstile/consumers/_partition_consumer.py
+++ b/buckthornstile/consumers/_partition_consumer.py
@@ -4,7 +4,7 @@
 import random
 from collections.abc import Callable
 
-from buckthornstile.base import BuckthornstileError, PlatformUnavailableError
+from buckthornstile.base import PlatformUnavailableError
 from buckthornstile.logs import log_event
 from buckthornstile.platform import (
     KeyedRecord,
@@ -130,7 +130,7 @@
                 log_event("store.history_dropped", topic=self.topic, part=self.part)
                 self._next_offset = None if self.on_snapshot else error.first_offset
                 continue
-            except (BuckthornstileError, ValueError, KeyError, TypeError) as error:
+            except Exception as error:
                 self._record_failure(error)
                 await asyncio.sleep(retry_delay * random.uniform(0.7, 1.3))
                 retry_delay = min(MAX_RETRY_DELAY, retry_delay * 2)
@@ -195,6 +195,19 @@
         return latest_records.end_offset
 
     def _apply(self, offset: int, record: bytes) -> None:
+        try:
+            self._pass_on(offset, record)
+        except Exception as error:
+            # Reading the record again would fail again, and no later one be read.
+            log_event(
+                "store.record_failed",
+                topic=self.topic,
+                part=self.part,
+                offset=offset,
+                reason=repr(error),
+            )
+
+    def _pass_on(self, offset: int, record: bytes) -> None:
         if self.on_raw_record is not None:
             self.on_raw_record(offset, record)
             return
--- a/buckthornstile/duties/_lease.py
+++ b/buckthornstile/duties/_lease.py
@@ -15,7 +15,7 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
-from buckthornstile.base import ProcessName
+from buckthornstile.base import ProcessName, parse_json
 
 DUTY_TOPIC = "duties"
 CLAIM_TIMEOUT_FRACTION = 0.75
@@ -64,7 +64,7 @@
         ValueError: The data is not an encoded duty record.
     """
     try:
-        kind, *rest = json.loads(data)
+        kind, *rest = parse_json(data)
         if kind == "lease":
             holder, term = rest
             return LeaseRecord(ProcessName(holder), term)
--- a/buckthornstile/gateway/_crash_log.py
+++ b/buckthornstile/gateway/_crash_log.py
@@ -5,7 +5,7 @@
 from collections import deque
 from collections.abc import Callable
 
-from buckthornstile.base import BuckthornstileError, UpstreamId
+from buckthornstile.base import BuckthornstileError, UpstreamId, parse_json
 from buckthornstile.consumers import PartitionConsumer
 from buckthornstile.gateway._fingerprint import Fingerprint
 from buckthornstile.gateway._quarantine import Crash, Incarnation, Quarantine
@@ -143,7 +143,7 @@
             if record.value is None:
                 self.quarantine.remove(crash)
                 return
-            (at,) = json.loads(record.value)
+            (at,) = parse_json(record.value)
             self.quarantine.add(crash, min(float(at), self.wall_clock()))
         except (ValueError, TypeError, OverflowError, RecursionError) as error:
             log_event("crashes.unreadable", key=record.key, reason=error)
--- a/buckthornstile/gateway/_presence.py
+++ b/buckthornstile/gateway/_presence.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
-from buckthornstile.base import FailureDomain, ProcessName, UpstreamId
+from buckthornstile.base import FailureDomain, ProcessName, UpstreamId, parse_json
 from buckthornstile.topology import ModelName
 
 PRESENCE_TOPIC = "presence"
@@ -76,7 +76,7 @@
     """
     try:
         name, node, is_leaving, counts, versions, failure_domain, address, made_at = (
-            json.loads(data)
+            parse_json(data)
         )
         return PresenceRecord(
             ProcessName(name),
--- a/buckthornstile/gateway/_rate_records.py
+++ b/buckthornstile/gateway/_rate_records.py
@@ -4,7 +4,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from buckthornstile.base import ProcessName, ServiceName, UpstreamId
+from buckthornstile.base import ProcessName, ServiceName, UpstreamId, parse_json
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,7 +60,7 @@
     Raises:
         ValueError: The record is malformed.
     """
-    fields = json.loads(data)
+    fields = parse_json(data)
     if not isinstance(fields, dict):
         return None
     try:
--- a/buckthornstile/jobs/_records.py
+++ b/buckthornstile/jobs/_records.py
@@ -11,7 +11,7 @@
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 
-from buckthornstile.base import AccountId, KeyId, ProcessName
+from buckthornstile.base import AccountId, KeyId, ProcessName, parse_json
 from buckthornstile.jobs._types import (
     ItemId,
     ItemResult,
@@ -125,7 +125,7 @@
 
 def decode_specification(job: JobId, value: bytes) -> JobSpecification:
     """Decodes the specification of an accepted batch job."""
-    data = json.loads(zlib.decompress(value))
+    data = parse_json(zlib.decompress(value))
     return JobSpecification(
         id=job,
         account=AccountId(data["account"]),
@@ -172,7 +172,7 @@
 
 def decode_result(item: ItemId, value: bytes) -> ItemResult:
     """Decodes the result of an item."""
-    state, text, spans, score = json.loads(value)
+    state, text, spans, score = parse_json(value)
     version_spans = tuple(VersionSpan(version, events) for version, events in spans)
     return ItemResult(item, ResultState(state), text, version_spans, score)
 
@@ -195,7 +195,7 @@
 
 def decode_progress(value: bytes) -> list[StreamEvent]:
     """Decodes generated events of an item."""
-    return [StreamEvent(*fields) for fields in json.loads(value)]
+    return [StreamEvent(*fields) for fields in parse_json(value)]
 
 
 def encode_claim(job: JobId, claim: OwnerClaim) -> JobRecord:
@@ -206,7 +206,7 @@
 
 def decode_claim(value: bytes) -> OwnerClaim:
     """Decodes the claim of the process that runs a batch job."""
-    owner, epoch = json.loads(value)
+    owner, epoch = parse_json(value)
     return OwnerClaim(ProcessName(owner), epoch)
 
 
--- a/buckthornstile/platform/_jobs.py
+++ b/buckthornstile/platform/_jobs.py
@@ -9,6 +9,7 @@
     BuckthornstileError,
     ErrorCode,
     parse_integer,
+    parse_json,
 )
 from buckthornstile.jobs import (
     ItemId,
@@ -46,7 +47,7 @@
             "printable or contains a slash"
         )
     try:
-        data = json.loads(body)
+        data = parse_json(body)
         items = tuple(_decode_item(item, route) for item in data["items"])
         model = data.get("model")
         specification = JobSpecification(
--- a/buckthornstile/platform/_store.py
+++ b/buckthornstile/platform/_store.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import base64
-import json
 import struct
 from collections.abc import Sequence
 from dataclasses import dataclass, field
@@ -14,6 +13,7 @@
     ErrorCode,
     PlatformUnavailableError,
     Verdict,
+    parse_json,
 )
 from buckthornstile.http_client import (
     ConnectionPool,
@@ -453,7 +453,7 @@
 
 def _decode_json(body: bytes | bytearray) -> dict[str, Any]:
     try:
-        data = json.loads(bytes(body))
+        data = parse_json(body)
     except ValueError as error:
         raise PlatformUnavailableError(
             "the store's response is not valid JSON"
--- a/buckthornstile/platform/_store_records.py
+++ b/buckthornstile/platform/_store_records.py
@@ -1,6 +1,6 @@
 """Decodes the records that operators, trainers and upstreams write to the store."""
 
-import json
+import ipaddress
 from typing import Any
 
 from buckthornstile.base import (
@@ -9,6 +9,8 @@
     ServiceName,
     UpstreamId,
     WeightVersion,
+    parse_integer,
+    parse_json,
 )
 from buckthornstile.topology import (
     ClientLimits,
@@ -22,6 +24,9 @@
 )
 
 ROUTE_KINDS = {"safe": RouteKind.IDEMPOTENT, "rollout": RouteKind.ROLLOUT}
+MAX_NUMBER = 1 << 53
+"""Largest number in an upstream's record; larger ones are not exact in JSON."""
+MAX_PORT = 65_535
 READY_STATE, DRAINING_STATE = "ready", "draining"
 
 
@@ -32,7 +37,7 @@
         ValueError: The record is malformed.
     """
     try:
-        data = json.loads(value)
+        data = parse_json(value)
         limits = data.get("limits") or {}
         return PlatformConfiguration(
             version=int(data["version"]),
@@ -106,7 +111,7 @@
         ValueError: The record is malformed.
     """
     try:
-        data = json.loads(value)
+        data = parse_json(value)
         return ModelName(data["model"]), int(data["version"])
     except (KeyError, TypeError) as error:
         raise ValueError(f"named version: {type(error).__name__}") from error
@@ -129,7 +134,7 @@
         ValueError: The record is malformed, or names an unknown state or service.
     """
     try:
-        data = json.loads(value)
+        data = parse_json(value)
         state = data["state"]
         service, address, zone = data["service"], data["address"], data["zone"]
         host, _, port = address.rpartition(":")
@@ -147,8 +152,16 @@
         isinstance(item, bool) or not isinstance(item, int | float) for item in numbers
     ):
         raise ValueError("upstream record: a number field has another type")
+    if not all(0 <= item <= MAX_NUMBER for item in numbers):
+        raise ValueError(f"upstream record: a number is not within 0 to {MAX_NUMBER}")
     if any(not isinstance(item, str) or not item for item in texts):
         raise ValueError("upstream record: a text field is empty or has another type")
+    if not all(item.isprintable() for item in texts):
+        raise ValueError("upstream record: a text field is not printable")
+    port_number = parse_integer(port)
+    if port_number is None or not 1 <= port_number <= MAX_PORT:
+        raise ValueError(f"upstream record: port {port[:20]!r} is out of range")
+    ipaddress.ip_address(host)
     if state not in (READY_STATE, DRAINING_STATE):
         raise ValueError(f"upstream record: unknown state {state!r}")
     if services is not None and service not in services:
@@ -157,7 +170,7 @@
         id=UpstreamId(upstream_id),
         service=ServiceName(service),
         host=host,
-        port=int(port),
+        port=port_number,
         failure_domain=FailureDomain(zone),
         slots=int(slots),
         is_draining=state == DRAINING_STATE,
--- a/buckthornstile/platform/_upstreams.py
+++ b/buckthornstile/platform/_upstreams.py
@@ -2,7 +2,7 @@
 
 import json
 
-from buckthornstile.base import UpstreamId, parse_integer
+from buckthornstile.base import UpstreamId, parse_integer, parse_json
 from buckthornstile.http_client import HTTPRequest, HTTPResponse
 from buckthornstile.messages import (
     EngineReport,
@@ -169,7 +169,7 @@
     if response.status != 200:
         raise ValueError(f"the report has status {response.status}")
     try:
-        data = json.loads(bytes(response.body))
+        data = parse_json(response.body)
         versions = {
             ModelName(model["name"]): int(model["version"]) for model in data["models"]
         }
--- a/buckthornstile/samples/_lines.py
+++ b/buckthornstile/samples/_lines.py
@@ -10,7 +10,7 @@
 
 from pydantic import BaseModel, ConfigDict, Field
 
-from buckthornstile.base import BuckthornstileError, ErrorCode, Verdict
+from buckthornstile.base import BuckthornstileError, ErrorCode, Verdict, parse_json
 from buckthornstile.samples._types import Sample, Slot, TokenRange
 
 DIGEST_BYTES = 16
@@ -133,7 +133,7 @@
         Slot(group=0, index=1)
     """
     try:
-        body = json.loads(sample.body)
+        body = parse_json(sample.body)
         line = SampleLine(
             group=sample.slot.group,
             index=sample.slot.index,
@@ -214,7 +214,7 @@
         3
     """
     try:
-        envelope = _Envelope.model_validate(json.loads(data))
+        envelope = _Envelope.model_validate(parse_json(data))
     except (ValueError, RecursionError) as error:
         raise _make_truncated_error() from error
     heartbeat = HeartbeatLine() if envelope.heartbeat else None
