Test that a failed response is no part of the stream that it was to resume

What operators of similar systems saw: a stream broke off, the next upstream answered with an error, and clients found the error's text in their stream, or a complete stream. Finding: it does not happen here. A stream is resumed only with a signed response of status 200, an event is proxied only with the id that follows, and a run that ends between events without them is not complete. Change: the worker's stand-in sends a body with its errors that looks like the next event, and can leave the signature out of streams. Tests: the next engine fails with status 500, 422, without a signature or without an end, each time; and once, before one that works.

--- a/buckthornstile/entry/tests/test_streams.py
+++ b/buckthornstile/entry/tests/test_streams.py
@@ -160,3 +160,51 @@
     read_task.cancel()
     await deployment.wait_for(lambda: worker.state.running == 0, timeout=2.0)
     assert worker.list_runs(finished=False)
+
+
+@pytest.mark.parametrize("next_fault", ["error", "impossible", "unsigned", "endless"])
+def test_failed_response_of_the_next_engine_is_not_part_of_a_broken_stream(
+    next_fault: str,
+) -> None:
+    """Every engine but the first fails, each time that the stream is resumed."""
+
+    @with_deployment
+    async def test(deployment: InProcessDeployment) -> None:
+        add_route(deployment, resumable=True)
+        deployment.add_worker("m1", MODEL_SERVICE, events=EVENT_COUNT)
+        deployment.workers["m1"].faults.add({"kind": "cut", "value": 5, "count": 1})
+        await deployment.add_entry("e1")
+        chunks: list[bytes] = []
+        read_task = asyncio.create_task(read_stream(deployment, "r1", chunks))
+        await deployment.wait_for(lambda: deployment.workers["m1"].list_runs())
+        fault = {"kind": next_fault, "seconds": 0.1, "count": 10}
+        deployment.workers["m1"].faults.add(fault)
+        with pytest.raises(BuckthornstileError, match="early"):
+            await read_task
+        assert parse_events(chunks) == make_expected_events("r1")[:5]
+        assert b"error" not in b"".join(chunks)
+        assert b"HTTP/1.1" not in b"".join(chunks)
+
+    test()
+
+
+@with_deployment
+async def test_stream_is_complete_after_a_failed_response_of_one_engine(
+    deployment: InProcessDeployment,
+) -> None:
+    add_route(deployment, resumable=True)
+    for name in ("m1", "m2", "m3"):
+        worker = deployment.add_worker(name, MODEL_SERVICE, events=EVENT_COUNT)
+        worker.faults.add({"kind": "cut", "value": 5, "count": 1})
+    await deployment.add_entry("e1")
+    chunks: list[bytes] = []
+    read_task = asyncio.create_task(read_stream(deployment, "r1", chunks))
+    await deployment.wait_for(
+        lambda: any(worker.list_runs() for worker in deployment.workers.values())
+    )
+    idle = [worker for worker in deployment.workers.values() if not worker.list_runs()]
+    for worker in idle:
+        worker.faults.clear("cut")
+    idle[0].faults.add({"kind": "error", "count": 1})
+    await read_task
+    assert parse_events(chunks) == make_expected_events("r1")
--- a/standins/worker/_application.py
+++ b/standins/worker/_application.py
@@ -21,6 +21,8 @@
 
 DEFAULT_LOAD_SECONDS = 0.05
 ENDLESS_CHUNK_BYTES = 64 << 10
+ERROR_BODY = b"id: 6\ndata: server error\n\n"
+"""Body of a failed response; a client that took it for a stream would accept it."""
 
 
 @dataclass
@@ -65,7 +67,7 @@
     Kinds of faults:
 
     - ``full``: status 503; the request is not run.
-    - ``error``: status 500.
+    - ``error``: status 500, with a body that looks like an event of a stream.
     - ``impossible``: status 422.
     - ``reset``: the request is recorded as run, but the connection is closed without
       a response.
@@ -74,7 +76,7 @@
       until the connection is closed; a chunk is sent every ``seconds``.
     - ``truncate``: the body of a plain response is incomplete.
     - ``crossed``: a plain response carries the id of another request.
-    - ``unsigned``: a plain response lacks the ``Server-Stamp`` header.
+    - ``unsigned``: a response lacks the ``Server-Stamp`` header.
     - ``cut``: the connection of a stream is closed after ``value`` events.
     - ``cut_end``: the connection of a stream is closed after its last event.
     - ``stall``: a stream pauses for ``seconds`` before each event after the first
@@ -142,6 +144,7 @@
             return
         if self.faults.consume("error"):
             self.set_status(500)
+            self.write(ERROR_BODY)
             return
         if self.faults.consume("impossible"):
             self.set_status(422)
@@ -202,6 +205,8 @@
             self.set_header("Instance-Id", state.id)
             return False
         self.set_header("Content-Type", "text/event-stream")
+        if self.faults.consume("unsigned"):
+            self.clear_header("Server-Stamp")
         prompt = parse_prompt_request(self.request.body)
         count = state.events if prompt is None else prompt.get("max_tokens", 1)
         start = int(self.request.headers.get("Last-Event-Id", "0")) + 1
