Split statistics, waits for slots and the digest's name from larger modules

Change: _upstream_stats holds the statistics and permits, _slot_waiting the waits for a rate limit; the digest is IncarnationDigest.

--- a/buckthornstile/entry/tests/test_load_balancer.py
+++ b/buckthornstile/entry/tests/test_load_balancer.py
@@ -7,8 +7,9 @@
 
 from buckthornstile.gateway import CrashDetector, CrashLog, Quarantine
 from buckthornstile.gateway._call_sender import CallSender
-from buckthornstile.gateway._load_balancer import LoadBalancer, Permit
+from buckthornstile.gateway._load_balancer import LoadBalancer
 from buckthornstile.gateway._rate_limits import RateLimits
+from buckthornstile.gateway._upstream_stats import Permit
 from buckthornstile.http_client import HTTPResponse
 from buckthornstile.messages import ClientRequest, RoutedCall, UpstreamLoad
 from buckthornstile.topology import (
--- a/buckthornstile/entry/tests/test_quarantine.py
+++ b/buckthornstile/entry/tests/test_quarantine.py
@@ -21,7 +21,7 @@
     MAX_FINGERPRINTS,
     MAX_QUARANTINE,
     Crash,
-    Incarnation,
+    IncarnationDigest,
     Quarantine,
     make_crash,
 )
@@ -50,7 +50,7 @@
 
 def add_crashes(quarantine: Quarantine, count: int, at: float = 100.0) -> None:
     for number in range(count):
-        quarantine.add(Crash(REQUEST, Incarnation(f"i{number}")), at)
+        quarantine.add(Crash(REQUEST, IncarnationDigest(f"i{number}")), at)
 
 
 def test_fingerprint_is_that_of_path_caller_and_body() -> None:
@@ -104,7 +104,7 @@
     assert not quarantine.list_expired(100.0 + LONG_QUARANTINE)
     assert len(quarantine.list_expired(1e9)) == 3
     for number in range(MAX_FINGERPRINTS):
-        quarantine.add(Crash(Fingerprint(f"g{number}"), Incarnation("i")), 200.0)
+        quarantine.add(Crash(Fingerprint(f"g{number}"), IncarnationDigest("i")), 200.0)
     assert not quarantine.is_suspect(REQUEST)
     assert quarantine.is_suspect(Fingerprint("g0"))
 
--- a/buckthornstile/gateway/_call_sender.py
+++ b/buckthornstile/gateway/_call_sender.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -17,7 +16,13 @@
 )
 from buckthornstile.gateway._crash_detection import CrashDetector
 from buckthornstile.gateway._fingerprint import compute_fingerprint
-from buckthornstile.gateway._load_balancer import LoadBalancer, Permit
+from buckthornstile.gateway._load_balancer import LoadBalancer
+from buckthornstile.gateway._slot_waiting import (
+    get_latest_start,
+    get_retry_delay,
+    wait_for_slot,
+)
+from buckthornstile.gateway._upstream_stats import Permit
 from buckthornstile.http_client import ConnectionPool, HTTPResponse
 from buckthornstile.logs import log_event
 from buckthornstile.messages import ResponseHead, RoutedCall, UpstreamCall
@@ -31,8 +36,6 @@
 """Number of attempts that did not run the request, after which it is not retried."""
 REFUSAL_PAUSE = 0.05
 """Seconds for which an upstream that had no free slot is avoided."""
-RETRY_AFTER_SECONDS = 0.1
-"""Seconds after which a client may retry a request that was not run."""
 FIRST_SERVER_ERROR_STATUS = 500
 """HTTP status from which a response to an idempotent request leads to a retry."""
 
@@ -108,41 +111,6 @@
     )
 
 
-def get_latest_start(call: RoutedCall, now: float) -> float:
-    """Returns the event loop's time until which a request may wait for a rate limit.
-
-    Later, its response would miss the target latency in any case.
-    """
-    return min(call.deadline, now + call.route.target_latency)
-
-
-async def wait_for_slot(
-    balancer: LoadBalancer, service: ServiceName, latest: float
-) -> bool:
-    """Waits until a rate limit allows a request to a service.
-
-    Args:
-        balancer: Knows the limits.
-        service: The service.
-        latest: Time after which the request must not wait, in the event loop's time.
-
-    Returns:
-        Whether the request may be sent now; False without a wait if no slot follows
-        in time or the service has no rate limit.
-    """
-    delay = balancer.get_slot_delay(service)
-    if not 0.0 < delay < latest - asyncio.get_running_loop().time():
-        return False
-    await asyncio.sleep(delay)
-    return True
-
-
-def get_retry_delay(balancer: LoadBalancer, service: ServiceName) -> float:
-    """Returns the seconds after which a client may retry a request that was not run."""
-    delay = balancer.get_slot_delay(service)
-    return max(RETRY_AFTER_SECONDS, delay) if delay < math.inf else RETRY_AFTER_SECONDS
-
-
 class _PendingCall:
     """One request and its attempts at upstreams.
 
--- a/buckthornstile/gateway/_crash_log.py
+++ b/buckthornstile/gateway/_crash_log.py
@@ -8,7 +8,7 @@
 from buckthornstile.base import BuckthornstileError, UpstreamId, parse_json
 from buckthornstile.consumers import PartitionConsumer
 from buckthornstile.gateway._fingerprint import Fingerprint
-from buckthornstile.gateway._quarantine import Crash, Incarnation, Quarantine
+from buckthornstile.gateway._quarantine import Crash, IncarnationDigest, Quarantine
 from buckthornstile.logs import log_event
 from buckthornstile.platform import KeyedRecord, StoreClient, encode_keyed_record
 
@@ -155,4 +155,4 @@
 
 def _decode_key(key: str) -> Crash:
     fingerprint, incarnation = key.split("/")
-    return Crash(Fingerprint(fingerprint), Incarnation(incarnation))
+    return Crash(Fingerprint(fingerprint), IncarnationDigest(incarnation))
--- a/buckthornstile/gateway/_item_execution.py
+++ b/buckthornstile/gateway/_item_execution.py
@@ -8,8 +8,9 @@
 from buckthornstile.gateway._call_sender import CallSender
 from buckthornstile.gateway._item_runner import ItemProgress, ItemRunner, RunOutcome
 from buckthornstile.gateway._job_store import JobStore
-from buckthornstile.gateway._load_balancer import LoadBalancer, Permit
+from buckthornstile.gateway._load_balancer import LoadBalancer
 from buckthornstile.gateway._metrics import GatewayMetrics
+from buckthornstile.gateway._upstream_stats import Permit
 from buckthornstile.jobs import ItemResult, Job, JobItem, ResultState, ScoreCall
 from buckthornstile.logs import log_event
 from buckthornstile.messages import ClientRequest, RoutedCall
--- a/buckthornstile/gateway/_item_runner.py
+++ b/buckthornstile/gateway/_item_runner.py
@@ -7,7 +7,8 @@
 from itertools import groupby
 
 from buckthornstile.base import AccountId, BuckthornstileError
-from buckthornstile.gateway._load_balancer import LoadBalancer, Permit
+from buckthornstile.gateway._load_balancer import LoadBalancer
+from buckthornstile.gateway._upstream_stats import Permit
 from buckthornstile.http_client import ConnectionPool, HTTPResponse
 from buckthornstile.jobs import JobItem, VersionSpan
 from buckthornstile.logs import log_event
--- a/buckthornstile/gateway/_job_runner.py
+++ b/buckthornstile/gateway/_job_runner.py
@@ -10,7 +10,7 @@
     JobContext,
     JobDependencies,
 )
-from buckthornstile.gateway._load_balancer import Permit
+from buckthornstile.gateway._upstream_stats import Permit
 from buckthornstile.jobs import (
     ItemResult,
     Job,
--- a/buckthornstile/gateway/_quarantine.py
+++ b/buckthornstile/gateway/_quarantine.py
@@ -28,7 +28,7 @@
 MAX_FINGERPRINTS = 10_000
 """Number of fingerprints that are remembered; the oldest are forgotten first."""
 
-Incarnation = NewType("Incarnation", str)
+IncarnationDigest = NewType("IncarnationDigest", str)
 """Digest that identifies one incarnation of an upstream."""
 
 
@@ -42,14 +42,14 @@
     """
 
     fingerprint: Fingerprint
-    incarnation: Incarnation
+    incarnation: IncarnationDigest
 
 
 def make_crash(fingerprint: Fingerprint, upstream: Upstream) -> Crash:
     """Makes the crash of an upstream's current incarnation under a request."""
     identity = f"{upstream.started_at_ms}\x00{upstream.id}"
     digest = xxh3_64_hexdigest(identity.encode())
-    return Crash(fingerprint, Incarnation(digest))
+    return Crash(fingerprint, IncarnationDigest(digest))
 
 
 class Quarantine:
@@ -60,7 +60,7 @@
     Example:
         >>> quarantine = Quarantine()
         >>> for number in range(2):
-        ...     crash = Crash(Fingerprint("f"), Incarnation(f"i{number}"))
+        ...     crash = Crash(Fingerprint("f"), IncarnationDigest(f"i{number}"))
         ...     _ = quarantine.add(crash, at=100.0)
         >>> quarantine.get_remaining_time(Fingerprint("f"), now=104.0)
         6.0
--- a/buckthornstile/gateway/_stream_proxy.py
+++ b/buckthornstile/gateway/_stream_proxy.py
@@ -14,13 +14,16 @@
     MAX_REFUSALS,
     REFUSAL_PAUSE,
     CallSender,
+    is_stale_configuration_error,
+)
+from buckthornstile.gateway._fingerprint import compute_fingerprint
+from buckthornstile.gateway._load_balancer import LoadBalancer
+from buckthornstile.gateway._slot_waiting import (
     get_latest_start,
     get_retry_delay,
-    is_stale_configuration_error,
     wait_for_slot,
 )
-from buckthornstile.gateway._fingerprint import compute_fingerprint
-from buckthornstile.gateway._load_balancer import LoadBalancer, Permit
+from buckthornstile.gateway._upstream_stats import Permit
 from buckthornstile.http_client import ConnectionPool, HTTPResponse
 from buckthornstile.logs import log_event
 from buckthornstile.messages import (
