List the slots of a rate limit at most every 5 ms while there is none

Cause: a job's runner asks for each waiting item and each upstream whether there is a slot, and each question listed the slots of the period: 6.4 us at 3.2 requests per second, 34.8 us at 50, on a third of a core of the small VMs. Change: after a listing that found no slot, the next follows 5 ms later at the earliest; waits for a slot end as much later. 0.5 us at both rates. The tests of limits pass.

--- a/buckthornstile/gateway/_rate_limits.py
+++ b/buckthornstile/gateway/_rate_limits.py
@@ -19,6 +19,9 @@
 SLOT_LIFETIME = 1.0
 """Seconds for which a slot may be used. With a limit of L requests per second, at most
 5 L + 1 slots can be used within 4 s."""
+LISTING_INTERVAL = 0.005
+"""Seconds after a listing that found no slot before the next one: job runners ask for
+each waiting item and each upstream in turn."""
 MAX_LOOKAHEAD = 2.0
 """Seconds ahead for which the next slot is searched."""
 DEMAND_WINDOW = 2.0
@@ -155,7 +158,16 @@
     def has_slot(self, upstream: Upstream) -> bool:
         """Whether this process may send an upstream one more request now."""
         limit = self.get_limit(upstream)
-        return limit is None or bool(self._list_unused(upstream, limit))
+        if limit is None:
+            return True
+        slots = self._slots.get(upstream.id)
+        if (
+            slots is not None
+            and not slots.unused
+            and self.wall_clock() < slots.listed_until + LISTING_INTERVAL
+        ):
+            return False
+        return bool(self._list_unused(upstream, limit))
 
     def take_slot(self, upstream: Upstream) -> None:
         """Uses the oldest slot, if there is a limit."""
@@ -179,7 +191,7 @@
         for period in range(first_period, last_period + 1):
             for time in list_slots(upstream.id, period, max(limit, MIN_RATE), share):
                 if time > now:
-                    return time - now
+                    return time - now + LISTING_INTERVAL
         return math.inf
 
     def _list_unused(self, upstream: Upstream, limit: float) -> deque[float]:
