Bound the rate limits and demands that come from outside

A limit of 400 digits decoded to infinity and raised an OverflowError wherever an upstream was chosen; one of a million requests per second hashed as many slots on each listing; an infinite demand in a record of another entry left every entry without a share. Change: a limit over 10,000 requests per second counts as none, a demand is bounded. A listing computes only the slots since the last one, so that its cost follows the rate and not the number of questions.

--- a/buckthornstile/entry/tests/test_rate_shares.py
+++ b/buckthornstile/entry/tests/test_rate_shares.py
@@ -11,6 +11,7 @@
     RateRecord,
     decode_rate_record,
 )
+from buckthornstile.routing import Share, compute_share, list_slots
 from buckthornstile.topology import Upstream
 
 STEP = 0.05
@@ -238,3 +239,36 @@
 
 def test_record_of_another_kind_is_left_to_its_decoder() -> None:
     assert decode_rate_record(b'["e1","n",false,{},{},"a","",0]') is None
+
+
+@pytest.mark.parametrize("limit", [1e300, float("inf"), float("nan"), -1.0])
+def test_limit_without_meaning_neither_stops_nor_slows_an_entry(limit: float) -> None:
+    entry = RateLimits(
+        "e0", clock=lambda: 5.0, wall_clock=lambda: 5.0, list_entries=lambda: ["e0"]
+    )
+    upstream = Upstream("u0", "s", "127.0.0.1", 1, "a", 12)
+    entry.record_statement(upstream, limit, sent_at=5.0)
+    assert entry.has_slot(upstream)
+    data = f'{{"name":"e1","demands":{{"s":1e999}},"limits":{{"u0":[0,{limit!r},0]}}}}'
+    data = data.replace("inf", "Infinity").replace("nan", "NaN")
+    record = decode_rate_record(data.encode())
+    assert record is not None
+    entry.apply_record(record)
+    assert entry.has_slot(upstream)
+    assert entry.get_slot_delay(upstream) == 0.0
+
+
+def test_slots_of_all_shares_are_those_of_the_rate() -> None:
+    weights = {"a": 1.0, "b": 2.5, "c": 0.0, "d": 4.0}
+    shares = [compute_share(name, weights) for name in weights]
+    for rate in (0.3, 1.0, 3.2, 400.0):
+        for after, until in ((100.0, 104.0), (100.4, 100.6), (99.999, 103.2)):
+            parts = [
+                list_slots(
+                    "u", rate, compute_share(name, weights), after=after, until=until
+                )
+                for name in weights
+            ]
+            whole = list_slots("u", rate, Share(0.0, 1.0), after=after, until=until)
+            assert sorted(time for part in parts for time in part) == whole
+            assert abs(len(whole) - rate * (until - after)) < 2
--- a/buckthornstile/gateway/_rate_limits.py
+++ b/buckthornstile/gateway/_rate_limits.py
@@ -11,9 +11,13 @@
 from dataclasses import dataclass, field
 
 from buckthornstile.base import ProcessName, ServiceName, UpstreamId
-from buckthornstile.gateway._rate_records import LimitStatement, RateRecord
+from buckthornstile.gateway._rate_records import (
+    LimitStatement,
+    RateRecord,
+    decode_limit,
+)
 from buckthornstile.logs import log_event
-from buckthornstile.routing import SLOT_PERIOD, Share, compute_share, list_slots
+from buckthornstile.routing import Share, compute_share, list_slots
 from buckthornstile.topology import Upstream
 
 SLOT_LIFETIME = 1.0
@@ -76,7 +80,8 @@
         self.list_entries = list_entries
         self.count_waiting = count_waiting
         self._statements: dict[UpstreamId, LimitStatement] = {}
-        self._received: set[UpstreamId] = set()
+        # Upstreams that stated a limit in a response to this process.
+        self._direct: set[UpstreamId] = set()
         self._slots: dict[UpstreamId, _Slots] = {}
         self._demands: dict[str, RateRecord] = {}
         self._request_times: dict[ServiceName, deque[float]] = {}
@@ -107,10 +112,11 @@
                 a limit ends one only if its request was sent after the limit was known,
                 as the response to an earlier request may have been on its way.
         """
+        limit = decode_limit(limit)
         known = self._statements.get(upstream.id)
         if limit is None and (known is None or sent_at <= known.stated_at):
             return
-        self._received.add(upstream.id)
+        self._direct.add(upstream.id)
         statement = LimitStatement(upstream.started_at_ms, limit, self.clock())
         self._apply(upstream.id, statement, source="response")
 
@@ -145,7 +151,7 @@
         for upstream in [name for name in self._statements if name not in upstreams]:
             del self._statements[upstream]
             self._slots.pop(upstream, None)
-            self._received.discard(upstream)
+            self._direct.discard(upstream)
 
     def count_limited(self) -> int:
         """Returns the number of upstreams whose limit is in effect."""
@@ -185,14 +191,14 @@
         if limit is None or self._list_unused(upstream, limit):
             return 0.0
         now = self.wall_clock()
-        share = self._get_share(upstream.service, now)
-        first_period = math.floor(now / SLOT_PERIOD)
-        last_period = math.floor((now + MAX_LOOKAHEAD) / SLOT_PERIOD)
-        for period in range(first_period, last_period + 1):
-            for time in list_slots(upstream.id, period, max(limit, MIN_RATE), share):
-                if time > now:
-                    return time - now + LISTING_INTERVAL
-        return math.inf
+        slots = list_slots(
+            upstream.id,
+            max(limit, MIN_RATE),
+            self._get_share(upstream.service, now),
+            after=now,
+            until=now + MAX_LOOKAHEAD,
+        )
+        return slots[0] - now + LISTING_INTERVAL if slots else math.inf
 
     def _list_unused(self, upstream: Upstream, limit: float) -> deque[float]:
         now = self.wall_clock()
@@ -201,13 +207,15 @@
             slots = self._slots[upstream.id] = _Slots(listed_until=now)
         oldest = now - SLOT_LIFETIME
         listed_until = max(slots.listed_until, oldest)
-        share = self._get_share(upstream.service, now)
-        first_period = math.floor(listed_until / SLOT_PERIOD)
-        for period in range(first_period, math.floor(now / SLOT_PERIOD) + 1):
+        if listed_until < now:
             slots.unused.extend(
-                time
-                for time in list_slots(upstream.id, period, max(limit, MIN_RATE), share)
-                if listed_until < time <= now
+                list_slots(
+                    upstream.id,
+                    max(limit, MIN_RATE),
+                    self._get_share(upstream.service, now),
+                    after=listed_until,
+                    until=now,
+                )
             )
         slots.listed_until = max(slots.listed_until, now)
         while slots.unused and slots.unused[0] <= oldest:
@@ -215,12 +223,12 @@
         return slots.unused
 
     def _get_share(self, service: ServiceName, now: float) -> Share:
-        """Returns this process's share, which is computed once in each period.
+        """Returns this process's share, which is computed once in each second.
 
         A process that does not know its own record yet has no share, as the others do
         not know it either.
         """
-        period = math.floor(now / SLOT_PERIOD)
+        period = math.floor(now)
         computed = self._shares.get(service)
         if computed is None or computed[0] != period:
             share = compute_share(self.name, self._compute_weights(service))
@@ -270,7 +278,7 @@
             upstream: LimitStatement(
                 statement.started_at_ms, statement.limit, statement.stated_at - now
             )
-            for upstream in self._received
+            for upstream in self._direct
             if (statement := self._statements[upstream]).stated_at
             > now - STATEMENT_LIFETIME
         }
--- a/buckthornstile/gateway/_rate_records.py
+++ b/buckthornstile/gateway/_rate_records.py
@@ -6,6 +6,11 @@
 
 from buckthornstile.base import ProcessName, ServiceName, UpstreamId, parse_json
 
+MAX_LIMIT = 10_000.0
+"""Requests per second; all entries together do not send as many to one upstream."""
+MAX_DEMAND = 1e6
+"""Requests per second that one process can want."""
+
 
 @dataclass(frozen=True, slots=True)
 class LimitStatement:
@@ -51,6 +56,11 @@
         return json.dumps(data).encode()
 
 
+def decode_limit(limit: float | None) -> float | None:
+    """Returns a limit from outside the process; one over ``MAX_LIMIT`` is none."""
+    return float(limit) if limit is not None and 0 <= limit <= MAX_LIMIT else None
+
+
 def decode_rate_record(data: bytes) -> RateRecord | None:
     """Decodes a record.
 
@@ -67,13 +77,13 @@
         return RateRecord(
             ProcessName(fields["name"]),
             {
-                ServiceName(service): max(0.0, float(rate))
+                ServiceName(service): min(MAX_DEMAND, max(0.0, float(rate)))
                 for service, rate in fields["demands"].items()
             },
             {
                 UpstreamId(upstream): LimitStatement(
                     int(started_at_ms),
-                    None if limit is None else max(0.0, float(limit)),
+                    decode_limit(limit),
                     min(0.0, float(negated_age)),
                 )
                 for upstream, (started_at_ms, limit, negated_age) in fields[
--- a/buckthornstile/routing/__init__.py
+++ b/buckthornstile/routing/__init__.py
@@ -1,7 +1,6 @@
 """Placement of work and shares of limits, computed alike in every process."""
 
 from buckthornstile.routing._rate_slots import (
-    SLOT_PERIOD,
     Share,
     compute_share,
     list_slots,
@@ -9,7 +8,6 @@
 from buckthornstile.routing._rendezvous import compute_rendezvous_score
 
 __all__ = [
-    "SLOT_PERIOD",
     "Share",
     "compute_rendezvous_score",
     "compute_share",
--- a/buckthornstile/routing/_rate_slots.py
+++ b/buckthornstile/routing/_rate_slots.py
@@ -1,7 +1,8 @@
 """Division of a rate limit into slots, each of which belongs to one process.
 
 Every process computes the same slots, so that the requests of all processes together
-stay within the limit without a message for each request.
+stay within the limit without a message for each request. The slots of each second are
+evenly spaced.
 """
 
 import itertools
@@ -11,8 +12,6 @@
 
 from xxhash import xxh3_64_intdigest
 
-SLOT_PERIOD = 1.0
-"""Seconds of a period; the slots of a period are evenly spaced."""
 _MAX_SLOTS_PER_PERIOD = 1 << 20
 _POINT_COUNT = 1 << 64
 _GOLDEN_RATIO_STEP = 0x9E3779B97F4A7C15
@@ -53,28 +52,36 @@
     return Share(low / total, ends[position] / total)
 
 
-def list_slots(key: str, period: int, rate: float, share: Share) -> list[float]:
-    """Lists the times at which the slots of a share in a period begin.
+def list_slots(
+    key: str, rate: float, share: Share, *, after: float, until: float
+) -> list[float]:
+    """Lists the times at which the slots of a share begin.
 
     Args:
         key: Id of what the rate limits, such as an upstream.
-        period: Number of the period since the epoch.
         rate: Slots per second, for all shares together.
         share: The share of a process.
+        after: Time in seconds since the epoch; only later slots are listed.
+        until: Time in seconds since the epoch; later slots are not listed.
 
     Returns:
         The times in seconds since the epoch, in ascending order.
 
     Example:
-        >>> list_slots("u1", 10, 4.0, Share(0.0, 1.0))
-        [10.0, 10.25, 10.5, 10.75]
+        >>> list_slots("u1", 4.0, Share(0.0, 1.0), after=10.0, until=11.0)
+        [10.25, 10.5, 10.75, 11.0]
     """
-    count = math.floor(rate * (period + 1)) - math.floor(rate * period)
     offset = xxh3_64_intdigest(key.encode())
     times = []
-    for position in range(min(count, _MAX_SLOTS_PER_PERIOD)):
-        index = period * _MAX_SLOTS_PER_PERIOD + position
-        point = (offset + index * _GOLDEN_RATIO_STEP) % _POINT_COUNT / _POINT_COUNT
-        if share.low <= point < share.high:
-            times.append((period + position / count) * SLOT_PERIOD)
+    first_period, last_period = math.floor(after), math.floor(until)
+    for period in range(first_period, last_period + 1):
+        count = math.floor(rate * (period + 1)) - math.floor(rate * period)
+        first = max(0, math.floor((after - period) * count))
+        last = min(count - 1, math.floor((until - period) * count))
+        for position in range(first, last + 1):
+            time = period + position / count
+            index = period * _MAX_SLOTS_PER_PERIOD + position
+            point = (offset + index * _GOLDEN_RATIO_STEP) % _POINT_COUNT / _POINT_COUNT
+            if after < time <= until and share.low <= point < share.high:
+                times.append(time)
     return times
