--- a/buckthornstile/entry/tests/test_rate_shares.py
+++ b/buckthornstile/entry/tests/test_rate_shares.py
@@ -264,10 +264,8 @@
     for rate in (0.3, 1.0, 3.2, 400.0):
         for after, until in ((100.0, 104.0), (100.4, 100.6), (99.999, 103.2)):
             parts = [
-                list_slots(
-                    "u", rate, compute_share(name, weights), after=after, until=until
-                )
-                for name in weights
+                list_slots("u", rate, share, after=after, until=until)
+                for share in shares
             ]
             whole = list_slots("u", rate, Share(0.0, 1.0), after=after, until=until)
             assert sorted(time for part in parts for time in part) == whole
