--- a/buckthornstile/entry/tests/test_rate_shares.py
+++ b/buckthornstile/entry/tests/test_rate_shares.py
@@ -48,16 +48,11 @@
 
     def add_entry(self, name: str) -> RateLimits:
         self.names.append(name)
-        known = list(self.names)
-
-        def list_entries() -> list[str]:
-            return known if name == "unread" else self.names
-
         entry = self.entries[name] = RateLimits(
             name,
             clock=lambda: self.now,
             wall_clock=lambda: self.now,
-            list_entries=list_entries,
+            list_entries=lambda: self.names,
             count_waiting=lambda service: self.waiting.get(name, 0),
         )
         return entry
--- a/buckthornstile/gateway/_crash_log.py
+++ b/buckthornstile/gateway/_crash_log.py
@@ -145,7 +145,7 @@
                 return
             (at,) = parse_json(record.value)
             self.quarantine.add(crash, min(float(at), self.wall_clock()))
-        except (ValueError, TypeError, OverflowError, RecursionError) as error:
+        except (ValueError, TypeError, OverflowError) as error:
             log_event("crashes.unreadable", key=record.key, reason=error)
 
 
--- a/buckthornstile/gateway/_rate_limits.py
+++ b/buckthornstile/gateway/_rate_limits.py
@@ -21,8 +21,7 @@
 from buckthornstile.topology import Upstream
 
 SLOT_LIFETIME = 1.0
-"""Seconds for which a slot may be used. With a limit of L requests per second, at most
-5 L + 1 slots can be used within 4 s."""
+"""Seconds for which a slot may be used; bounds how many can be used at once."""
 LISTING_INTERVAL = 0.005
 """Seconds after a listing that found no slot before the next one: job runners ask for
 each waiting item and each upstream in turn."""
@@ -41,7 +40,7 @@
 
 @dataclass(slots=True)
 class _Slots:
-    """Slots of one upstream.
+    """This process's slots of one upstream.
 
     Attributes:
         listed_until: Time up to which the slots were listed, in seconds since the
