--- a/review/harness/_case.py
+++ b/review/harness/_case.py
@@ -242,13 +242,15 @@
         return answer.status == 200
 
     async def put_configuration(
-        self, routes: list[dict[str, Any]], models: dict[str, str] | None = None
+        self,
+        routes: list[dict[str, Any]],
+        models: dict[str, tuple[str, ...]] | None = None,
     ) -> None:
         """Writes a configuration with these routes.
 
         Args:
             routes: The routes.
-            models: The model of each service of engines.
+            models: The models of each service of engines.
         """
         version = self._configuration.get("version", 0) + 7
         services = sorted({route["service"] for route in routes})
@@ -256,7 +258,7 @@
             "version": version,
             "routes": [{"hostname": HOST, **route} for route in routes],
             "services": [
-                _make_service(name, (models or {}).get(name, "")) for name in services
+                _make_service(name, (models or {}).get(name, ())) for name in services
             ],
             "limits": LIMITS,
             "tenants": [{"name": TENANT, "apiKeys": [KEY]}],
@@ -294,14 +296,15 @@
             process.wait()
 
 
-def _make_service(name: str, model: str) -> dict[str, Any]:
+def _make_service(name: str, models: tuple[str, ...]) -> dict[str, Any]:
     service: dict[str, Any] = {
         "name": name,
         "healthPath": "/healthz",
         "maxConnections": 160,
     }
-    if model:
-        service["engine"] = {"models": [{"name": model}], "kvTokens": 60483}
+    if models:
+        engine = {"models": [{"name": model} for model in models], "kvTokens": 60483}
+        service["engine"] = engine
     return service
 
 
--- a/review/harness/_worker.py
+++ b/review/harness/_worker.py
@@ -41,7 +41,7 @@
         record: Called with an event and its fields.
         append: Appends records to a topic of the store.
         work: Answers a request that runs.
-        model: The model that it holds, or "".
+        models: The models that it holds.
         slots: Number of requests at once.
     """
 
@@ -54,15 +54,15 @@
         record: Callable[..., None],
         append: Callable[[str, list[tuple[str, bytes]]], Awaitable[bool]],
         work: Work,
-        model: str = "",
+        models: tuple[str, ...] = (),
         slots: int = 12,
         heartbeat: float = 1.2,
     ) -> None:
         self.name, self.service, self.zone = name, service, zone
         self.record, self.append, self.work = record, append, work
-        self.model, self.slots, self.heartbeat = model, slots, heartbeat
-        self.version = 1
-        self.next_version = 0
+        self.slots, self.heartbeat = slots, heartbeat
+        self.versions = dict.fromkeys(models, 1)
+        self.loading = ""
         self.order_count = 0
         self.running = 0
         self.state = "ready"
@@ -86,7 +86,6 @@
     async def register(self) -> None:
         """Writes the worker's entry."""
         self._beats += 1
-        models = [{"name": self.model, "version": self.version, "adapters": []}]
         entry = {
             "service": self.service,
             "address": self.address,
@@ -98,7 +97,7 @@
             "sequence": self._beats,
             "born": self._born,
             "stage": "both",
-            "models": models if self.model else [],
+            "models": self._list_models(),
         }
         await self.append("keyed.servers", [(self.name, json.dumps(entry).encode())])
 
@@ -156,10 +155,11 @@
 
     async def _run(self, request: Request) -> None:
         version = request.headers.get("expect-version")
-        if version is not None and int(version) != self.version:
+        if version is not None and int(version) != self._get_version(request):
             await self.answer(request, 421, b"", {"Instance-Id": self.name})
             return
-        if self.running >= self.slots or self.next_version:
+        is_loading = self.loading and request.headers.get("model") == self.loading
+        if self.running >= self.slots or is_loading:
             await self.answer(request, 503, b"", {"Not-Run": "1"})
             return
         self.running += 1
@@ -174,12 +174,20 @@
             if not self.running:
                 self._idle.set()
 
+    def _get_version(self, request: Request) -> int:
+        return self.versions.get(request.headers.get("model", ""), 0)
+
+    def _list_models(self) -> list[dict[str, Any]]:
+        return [
+            {"name": name, "version": version, "adapters": []}
+            for name, version in self.versions.items()
+        ]
+
     def _make_report(self) -> dict[str, Any]:
-        models = [{"name": self.model, "version": self.version, "adapters": []}]
         return {
             "stage": "both",
-            "models": models if self.model else [],
-            "busy": bool(self.next_version),
+            "models": self._list_models(),
+            "busy": bool(self.loading),
             "sequence": self.order_count,
             "numWaiting": 0,
             "numRunning": self.running,
@@ -188,25 +196,26 @@
     def _accept_order(self, request: Request) -> int:
         order = json.loads(request.body)
         self.record("order", worker=self.name, **order)
+        model, version = order["model"], order["version"]
         if "holder" not in order or "fence" not in order:
             return 400
-        if self.version == order["version"] and not self.next_version:
+        if self.versions.get(model) == version and not self.loading:
             return 200
-        if self.next_version:
+        if self.loading:
             return 409
         if order.get("precondition", self.order_count) != self.order_count:
             return 409
         self.order_count += 1
-        self.next_version = order["version"]
-        self._spawn(self._load(order["mode"]))
+        self.loading = model
+        self._spawn(self._load(model, version, order["mode"]))
         return 202
 
-    async def _load(self, mode: str) -> None:
+    async def _load(self, model: str, version: int, mode: str) -> None:
         if mode == "wait":
             await self._idle.wait()
         await asyncio.sleep(LOAD_SECONDS)
-        self.version, self.next_version = self.next_version, 0
-        self.record("loaded", worker=self.name, version=self.version)
+        self.versions[model], self.loading = version, ""
+        self.record("loaded", worker=self.name, model=model, version=version)
 
     async def answer(
         self,
@@ -239,20 +248,25 @@
     ) -> None:
         """Streams the events after ``Last-Event-Id`` up to ``count``."""
         first = int(request.headers.get("last-event-id", "0")) + 1
+        version = self._get_version(request)
         head = [
             "HTTP/1.1 200 OK",
             "Content-Type: text/event-stream",
             "Transfer-Encoding: chunked",
             f"Request-Id: {request.id}",
             f"Server-Stamp: {self.name}.{request.id}",
-            f"Weight-Versions: {self.version}",
+            f"Weight-Versions: {version}",
         ]
         request.writer.write("\r\n".join(head).encode() + b"\r\n\r\n")
         for number in range(first, count + 1):
             await asyncio.sleep(pause)
             if request.writer.is_closing():
                 raise ConnectionResetError
-            event = f"id: {number}\ndata: {make_data(number)}\n\n".encode()
+            text = f"id: {number}\ndata: {make_data(number)}\n\n"
+            if self._get_version(request) != version:
+                version = self._get_version(request)
+                text = f"weight-versions: {version}\n{text}"
+            event = text.encode()
             request.writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await request.writer.drain()
         request.writer.write(b"0\r\n\r\n")
