Add a review case: a step that waits for the version of a lost engine

Cause: an engine that is one version behind is loaded only while its model has credit, and the credit spent on an engine that is lost is not returned. Change: review/5 loses the only engine that holds the version that a step needs.

--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,143 +1,109 @@
-"""Requests are sent to a worker that has said in its answers that it leaves."""
+"""Items that need the newest version wait for ever after one engine is lost."""
 
 import asyncio
-from collections import Counter
 
-from review.harness import Answer, Case, Request, Worker, call, run_case
-from review.harness._case import BOUNDS, HOST, KEY, ZONES
+from review.harness import Case, Request, Worker, run_case
+from review.harness._case import ZONES
+from review.harness._trainer import (
+    MODEL,
+    PLAIN_ROUTE,
+    PLAIN_SERVICE,
+    ROLLOUT_ROUTE,
+    STEP_SECONDS,
+    Trainer,
+    make_item,
+    run_desk,
+)
 
-DESK = "shop-desk"
-WORK_SECONDS = 0.3
-INTERVAL = 0.05
-WARM_UP_SECONDS = 2.0
-OUTAGE_SECONDS = 4.4
-LEAVES_AFTER = 0.2
-"""Seconds after the start of the outage at which the worker starts to leave."""
-SERVES_FOR = 4.0
-"""Seconds for which the leaving worker still serves: drainMs and a little longer."""
-AFTER_SECONDS = 2.0
-DRAIN_SECONDS = BOUNDS["drainMs"] / 1000
+ENGINES = "geometry-models"
+MODELS = (MODEL, "daka510001", "daka510002")
+EVENTS = 20
+EVENT_SECONDS = 0.06
+ITEMS = 24
+QUIET_SECONDS = 6.5
+"""Seconds between the naming of the version and the step; LOST wants 6."""
+LOST_AFTER = 0.9
+"""Seconds after the 202 at which the engine is lost."""
+EXPIRY_SECONDS = 3.6
+"""Three heartbeat intervals of silence, after which the store removes an entry."""
+CONTACT_SECONDS = 3.0
+UNSENT_SECONDS = 5.0
 
-ROUTES = [
-    {
-        "name": "orders",
-        "pathPrefix": "/lohu930/",
-        "kind": "unsafe",
-        "service": DESK,
-        "timeoutMs": 2000,
-        "targetLatencyMs": 400,
-        "maxAttempts": 3,
-        "priority": 2,
-    }
-]
 
-
-async def run_desk(worker: Worker, request: Request) -> None:
-    """Works for a moment and answers."""
-    await asyncio.sleep(WORK_SECONDS)
-    stamp = {"Server-Stamp": f"{worker.name}.{request.id}"}
-    await worker.answer(request, 200, b"answer to " + request.body, stamp)
+async def run_engine(worker: Worker, request: Request) -> None:
+    """Streams the events of an item."""
+    await worker.stream(
+        request, EVENTS, EVENT_SECONDS, lambda number: f"{request.id}-{number}"
+    )
 
 
 async def play(case: Case) -> list[str]:
-    """Lets a worker leave while the store is down."""
+    """Plays one step; the engine that holds its version is lost for good."""
     await case.start_store()
-    await case.put_configuration(ROUTES)
-    run_counts: Counter[str] = Counter()
-    worker_of: dict[str, str] = {}
+    await case.put_configuration(
+        [{**ROLLOUT_ROUTE, "service": ENGINES}, PLAIN_ROUTE], {ENGINES: MODELS}
+    )
+    engines = [
+        await case.start_worker(f"e-{n}", ENGINES, ZONES[n], run_engine, models=MODELS)
+        for n in range(4)
+    ]
+    await case.start_worker("d-0", PLAIN_SERVICE, ZONES[0], run_desk, slots=6)
+    runs: list[tuple[float, str]] = []
     record = case.record
 
     def record_run(event: str, **fields: object) -> None:
         record(event, **fields)
         if event == "run":
-            run_counts[str(fields["worker"])] += 1
-            worker_of[str(fields["request"])] = str(fields["worker"])
+            runs.append((case.now(), str(fields["request"])))
 
-    for n in range(4):
-        worker = await case.start_worker(f"d-{n}", DESK, ZONES[n], run_desk, slots=6)
+    for worker in case.workers.values():
         worker.record = record_run
-    for n in range(2):
-        await case.start_entry(f"front-{ZONES[n]}-1", ZONES[n])
-    machines = list(case.addresses.items())
-    sent_at: dict[str, float] = {}
-    passed_on: dict[str, float] = {}
-    leaving: list[str] = []
+    await case.start_entry("front-bench-a-1", "bench-a")
+    await case.start_entry("front-bench-b-1", "bench-b")
+    trainer = Trainer(case)
+    await case.name_version(MODEL, 2)
+    await case.wait_until(
+        lambda: any(engine.versions[MODEL] == 2 for engine in engines), "version 2"
+    )
+    await asyncio.sleep(QUIET_SECONDS)
+    record("versions_held", versions=[engine.versions[MODEL] for engine in engines])
 
-    async def send(number: int) -> Answer:
-        name, (machine, address) = f"r{number}", machines[number % 2]
-        headers = {
-            "Host": HOST,
-            "Request-Id": name,
-            "Deadline-Ms": "2000",
-            "Credential": KEY,
-        }
-        sent_at[name] = case.now()
-        answer = await call(
-            address, "POST", "/lohu930/2f", headers, b"blade", timeout=3.0
-        )
-        says_leaving = answer.headers.get("server-leaving", "")
-        record(
-            "client",
-            request=name,
-            machine=machine,
-            outcome=answer.outcome,
-            status=answer.status,
-            leaving=says_leaving,
-        )
-        if says_leaving:
-            passed_on.setdefault(machine, case.now())
-        return answer
+    items = [make_item(f"i{n}", f"g{n // 4}", EVENTS) for n in range(ITEMS)]
+    accepted_at = await trainer.submit("lot-1", 2, 2, ITEMS // 4, items)
 
-    async def leave() -> None:
-        await asyncio.sleep(WARM_UP_SECONDS)
-        if case.has_trouble:
-            case.pause_store()
-            record("store_down")
-        await asyncio.sleep(LEAVES_AFTER)
-        worker = case.workers[run_counts.most_common(1)[0][0]]
-        leaving.append(worker.name)
-        worker.state = "draining"
-        worker.extra_headers["Server-Leaving"] = "1"
-        record("leaves", worker=worker.name)
-        report = asyncio.create_task(worker.register())
-        await asyncio.sleep(SERVES_FOR)
-        report.cancel()
-        worker.stop()
-        record("gone", worker=worker.name)
-        await asyncio.sleep(OUTAGE_SECONDS - LEAVES_AFTER - SERVES_FOR)
-        if case.has_trouble:
-            case.resume_store()
-            record("store_back")
+    async def lose_engine() -> None:
+        await asyncio.sleep(LOST_AFTER)
+        holders = [engine for engine in engines if engine.versions[MODEL] == 2]
+        if not case.has_trouble or len(holders) != 1:
+            return
+        holders[0].stop()
+        record("lost", worker=holders[0].name)
+        await asyncio.sleep(EXPIRY_SECONDS)
+        await case.append("keyed.servers", [(holders[0].name, b"")])
+        record("expired", worker=holders[0].name)
 
-    leave_task = asyncio.create_task(leave())
-    seconds = WARM_UP_SECONDS + OUTAGE_SECONDS + AFTER_SECONDS
-    tasks = []
-    for number in range(int(seconds / INTERVAL)):
-        tasks.append(asyncio.create_task(send(number)))
-        await asyncio.sleep(INTERVAL)
-    answers = await asyncio.gather(*tasks)
-    await leave_task
-    late = []
-    for number in range(len(answers)):
-        name, machine = f"r{number}", machines[number % 2][0]
-        if worker_of.get(name) not in leaving or machine not in passed_on:
-            continue
-        if sent_at[name] - passed_on[machine] > DRAIN_SECONDS:
-            late.append(
-                f"{name} ({machine}, {sent_at[name] - passed_on[machine]:.2f} s)"
-            )
-    record(
-        "summary",
-        late=len(late),
-        passed_on=passed_on,
-        statuses=dict(Counter(answer.status for answer in answers)),
+    lose_task = asyncio.create_task(lose_engine())
+    results = await trainer.read(
+        "lot-1", accepted_at + STEP_SECONDS, lambda results: len(results) == ITEMS
     )
-    if not late:
+    over_at = case.now()
+    await lose_task
+    record("versions_held", versions=[engine.versions[MODEL] for engine in engines])
+    begun = {request for _, request in runs}
+    steady_from = accepted_at + LOST_AFTER + CONTACT_SECONDS
+    missing = [str(item["id"]) for item in items if item["id"] not in results]
+    unsent = []
+    for item in missing:
+        last = max((at for at, request in runs if request == item), default=0.0)
+        if over_at - max(last, steady_from) >= UNSENT_SECONDS:
+            unsent.append(item)
+    record("step_over", missing=len(missing), unsent=len(unsent), begun=len(begun))
+    if not unsent or not begun:
         return []
     return [
-        f"DRAIN: {len(late)} requests reached {leaving[0]} though they were sent more "
-        f"than {DRAIN_SECONDS} s after their machine had passed on an answer with "
-        f"Server-Leaving: {', '.join(late)}"
+        f"LOST: {len(unsent)} of {ITEMS} items have no result after {STEP_SECONDS} s "
+        f"and were at no worker for {UNSENT_SECONDS} s of steady state; "
+        f"{sum(f'i{n}' in begun for n in range(ITEMS))} of the step had begun"
     ]
 
 
