--- a/review/1/case.py
+++ b/review/1/case.py
@@ -81,12 +81,13 @@
     ]
     first = make_groups(1, range(4))
     start = await trainer.submit("lot-1", 2, 1, 4, first + carried)
-    await trainer.read(
+    results = await trainer.read(
         "lot-1",
         start + STEP_SECONDS,
         lambda results: all(item["id"] in results for item in first),
     )
     await trainer.end("lot-1")
+    case.require(LONG_ITEM not in results, "a step with an unfinished item")
     await asyncio.sleep(1.0)
     if case.has_trouble:
         await case.name_version(MODEL, 3)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -74,7 +74,8 @@
     async def lose_engine() -> None:
         await asyncio.sleep(LOST_AFTER)
         holders = [engine for engine in engines if engine.versions[MODEL] == 2]
-        if not case.has_trouble or len(holders) != 1:
+        case.require(bool(holders), "an engine with the named version")
+        if not case.has_trouble:
             return
         holders[0].stop()
         record("lost", worker=holders[0].name)
--- a/review/harness/_case.py
+++ b/review/harness/_case.py
@@ -275,6 +275,11 @@
             raise CannotRunError("the store did not take the version")
         self.record("version_named", model=model, version=version)
 
+    def require(self, condition: bool, what: str) -> None:
+        """Ends the case as one that could not run, unless a condition holds."""
+        if not condition:
+            raise CannotRunError(f"not reached: {what}")
+
     async def wait_until(
         self, condition: Callable[[], bool], what: str, seconds: float = 15.0
     ) -> None:
@@ -339,6 +344,8 @@
 
 def run_case(file: str, play: Callable[[Case], Awaitable[list[str]]]) -> None:
     """Runs a case and exits with 1 if it returns violations, 0 if none, else 2."""
+    # A case that is stopped from outside still ends its processes.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     folder = Path(file).resolve().parent
     with tempfile.TemporaryDirectory(prefix="review-") as temporary:
         case = Case(folder, Path(temporary))
@@ -349,7 +356,7 @@
 
         try:
             violations = asyncio.run(run())
-        except (CannotRunError, TimeoutError, OSError) as error:
+        except Exception as error:
             case.record("cannot_run", reason=repr(error))
             print(f"cannot run: {error!r}")
             sys.exit(2)
