Discard the events of an item whose single version is not to be had

Cause: stored events tie an item to their version, and nothing ever discarded them, so it waited for a version that no engine would hold again. The same happened within a step when the engine with that version was lost or refused everything, and after a takeover. Change: events are discarded when no usable engine holds their version, or none took the item for 0.5 s, while another engine could start it. Their records are deleted before new ones are stored, as a new owner would join the events of two runs. Ruled out: refusals with 421 and lack of capacity; no run of the item reached an engine while 19 later items completed.

--- a/buckthornstile/gateway/_item_execution.py
+++ b/buckthornstile/gateway/_item_execution.py
@@ -11,7 +11,15 @@
 from buckthornstile.gateway._load_balancer import LoadBalancer
 from buckthornstile.gateway._metrics import GatewayMetrics
 from buckthornstile.gateway._upstream_stats import Permit
-from buckthornstile.jobs import ItemResult, Job, JobItem, ResultState, ScoreCall
+from buckthornstile.jobs import (
+    ItemResult,
+    Job,
+    JobItem,
+    ProgressCheckpoint,
+    ResultState,
+    ScoreCall,
+    choose_progress,
+)
 from buckthornstile.logs import log_event
 from buckthornstile.messages import ClientRequest, RoutedCall
 from buckthornstile.topology import API_HOST, Route, TopologyView, Upstream
@@ -33,6 +41,9 @@
 """Seconds after a job's time limit or retention at which its items are abandoned."""
 NO_ROUTE_RETRY_DELAY = 0.1
 """Seconds before a missing scoring route is looked up again."""
+MAX_VERSION_WAIT = 0.5
+"""Seconds for which an item waits for an upstream that holds the version of its events,
+while others could run it from the start."""
 MAX_AVOIDED_UPSTREAMS = 2
 """Maximum number of upstreams that an item avoids: the latest ones whose runs broke,
 timed out or were slow."""
@@ -94,26 +105,29 @@
         context: The job of the item.
         rank: Items with a smaller rank start first.
         urgency: Urgency at the upstream, from 0 (most urgent) to 9.
+        checkpoint: What the store holds of its progress.
         progress: The events that were received so far.
         avoided: Upstreams that the item avoids.
         failures: Number of failed runs.
         refusals_in_a_row: Number of refusals since the last run that was not refused.
-        saved_count: Number of events stored, or being stored, for this job.
         runs: Upstream and outcome of each run that was not refused.
         started_at: Time of the first run in seconds, or 0 before it.
+        waiting_since: Time since which the item waits for an upstream that holds the
+            version of its events, in seconds, or None.
     """
 
     item: JobItem
     context: JobContext
     rank: tuple[int, int, int]
     urgency: int
+    checkpoint: ProgressCheckpoint
     progress: ItemProgress = field(default_factory=ItemProgress)
     avoided: list[UpstreamId] = field(default_factory=list)
     failures: int = 0
     refusals_in_a_row: int = 0
-    saved_count: int = 0
     runs: list[str] = field(default_factory=list)
     started_at: float = 0.0
+    waiting_since: float | None = None
 
     async def run(
         self, upstream: Upstream, route: Route, permit: Permit
@@ -147,6 +161,7 @@
         )
         permit.release()
         if outcome is not RunOutcome.REFUSED:
+            self.waiting_since = None
             self.runs.append(f"{upstream.id}:{outcome.value}")
         if outcome is RunOutcome.COMPLETE:
             if specification.host == API_HOST:
@@ -188,33 +203,103 @@
 
     def is_eligible(self, upstream: Upstream, route: Route) -> bool:
         """Whether an upstream holds a version that may run the rest of the item."""
+        if not self._holds_allowed_version(upstream):
+            return False
+        if route.requires_single_version and self.progress.events:
+            return self._get_version(upstream) == self.progress.events[0].version
+        return True
+
+    def _holds_allowed_version(self, upstream: Upstream) -> bool:
         specification = self.context.job.specification
         if specification.model is None:
             return True
+        version = self._get_version(upstream)
+        return bool(version) and version >= specification.minimum_version
+
+    def _get_version(self, upstream: Upstream) -> int:
+        model = self.context.job.specification.model
         view = self.context.dependencies.view
-        version = view.get_version(upstream, specification.model)
-        if not version or version < specification.minimum_version:
-            return False
-        if route.requires_single_version and self.progress.events:
-            return version == self.progress.events[0].version
-        return True
+        return view.get_version(upstream, model) if model is not None else 0
 
     def load_progress(self, route: Route | None) -> None:
         """Restores the stored events of the item if their versions are allowed."""
         specification = self.context.job.specification
-        events = self.context.dependencies.store.table.find_progress(
-            specification.account, self.item
+        table = self.context.dependencies.store.table
+        stored = table.list_progress(specification.account, self.item)
+        upstreams = self._list_upstreams(route) if route is not None else []
+        events = choose_progress(
+            stored.values(),
+            minimum_version=specification.minimum_version,
+            requires_single_version=route is not None and route.requires_single_version,
+            held_versions={self._get_version(upstream) for upstream in upstreams},
         )
-        versions = {event.version for event in events}
-        if not events or min(versions) < specification.minimum_version:
-            return
-        if route is not None and route.requires_single_version and len(versions) > 1:
+        own_events = stored.get(specification.id, [])
+        self.checkpoint.keys |= set(self.context.job.list_progress_keys(self.item.id))
+        self.checkpoint.event_count = len(own_events)
+        if list(events[: len(own_events)]) != own_events:
+            self.checkpoint.discard()
+        if not events:
             return
         self.progress.events = list(events)
-        self.saved_count = len(self.context.job.get_progress(self.item.id))
         log_event(
-            "item.resumed", job=specification.id, item=self.item.id, events=len(events)
+            "item.resumed",
+            job=specification.id,
+            item=self.item.id,
+            events=len(events),
+            versions=",".join(map(str, sorted({event.version for event in events}))),
+        )
+
+    def discard_unusable_progress(self, route: Route) -> None:
+        """Discards the events of the item if their version is not to be had in time.
+
+        Where a single version is required, only upstreams that hold the version of
+        the events can go on from them. The events are kept as long as no other
+        upstream could run the item from the start.
+        """
+        if not route.requires_single_version or not self.progress.events:
+            return
+        version = self.progress.events[0].version
+        balancer = self.context.dependencies.balancer
+        upstreams = [
+            upstream
+            for upstream in self._list_upstreams(route)
+            if not balancer.is_ejected(upstream)
+        ]
+        is_held = any(self._get_version(upstream) == version for upstream in upstreams)
+        now = self.context.dependencies.clock()
+        if self.waiting_since is None:
+            self.waiting_since = now
+        if is_held and now - self.waiting_since < MAX_VERSION_WAIT:
+            return
+        if any(
+            self._holds_allowed_version(upstream)
+            and self._get_version(upstream) != version
+            and balancer.has_capacity(upstream)
+            for upstream in upstreams
+        ):
+            self._restart("version is not held" if not is_held else "version is busy")
+
+    def _restart(self, reason: str) -> None:
+        """Discards all events, so that the item is run from the start."""
+        log_event(
+            "item.restarted",
+            job=self.context.job.id,
+            item=self.item.id,
+            reason=reason,
+            events=len(self.progress.events),
+            version=self.progress.events[0].version,
         )
+        self.progress.events = []
+        self.checkpoint.discard()
+        self.waiting_since = None
+
+    def _list_upstreams(self, route: Route) -> list[Upstream]:
+        view = self.context.dependencies.view
+        return [
+            upstream
+            for service, _ in route.services
+            for upstream in view.list_available_upstreams(service)
+        ]
 
     def find_earlier_result(self, route: Route | None) -> ItemResult | None:
         """Returns the result of an earlier job if its versions are allowed, or None."""
@@ -253,9 +338,7 @@
             return None
         if self.progress.events:
             return self.progress.events[0].version
-        model = self.context.job.specification.model
-        view = self.context.dependencies.view
-        return view.get_version(upstream, model) if model else None
+        return self._get_version(upstream) or None
 
     # Scores
 
--- a/buckthornstile/gateway/_job_runner.py
+++ b/buckthornstile/gateway/_job_runner.py
@@ -16,7 +16,7 @@
     Job,
     JobItem,
     JobRecord,
-    encode_progress,
+    ProgressCheckpoint,
     encode_result,
 )
 from buckthornstile.logs import log_event
@@ -39,8 +39,6 @@
 """Seconds between two checks for progress that should be stored."""
 MIN_CHECKPOINT_EVENTS = 8
 """Minimum number of new events of an item for its progress to be stored."""
-MAX_EVENTS_PER_RECORD = 50
-"""Number of events in one record; keeps it well below the maximum record size."""
 SPARE_GROUP_URGENCY = 3
 """Added to the urgency of items in groups beyond those the trainer waits for."""
 
@@ -75,6 +73,8 @@
         self._executions: list[ItemExecution] = []
         self._pending: list[ItemExecution] = []
         self._append_lock = asyncio.Lock()
+        # Overlapping checkpoints could append the records of one item out of order.
+        self._checkpoint_lock = asyncio.Lock()
         self._changed = asyncio.Event()
         self._results: asyncio.Queue[ItemResult] = asyncio.Queue()
         self._task = asyncio.create_task(self._run())
@@ -184,7 +184,8 @@
         priority = route.priority if route else 0
         urgency = min(MAX_URGENCY, priority + 1 + SPARE_GROUP_URGENCY * is_spare_group)
         rank = (int(is_spare_group), -item.expected_tokens, position)
-        execution = ItemExecution(item, self.context, rank, urgency)
+        checkpoint = ProgressCheckpoint(self.job.id, item.id)
+        execution = ItemExecution(item, self.context, rank, urgency, checkpoint)
         execution.load_progress(route)
         return execution
 
@@ -193,6 +194,7 @@
     ) -> Upstream | None:
         if route is None or not route.services:
             return None
+        execution.discard_unusable_progress(route)
         balancer = self.dependencies.balancer
         group = execution.item.group
         upstream = balancer.pick(
@@ -228,28 +230,17 @@
 
     async def checkpoint(self, min_events: int) -> None:
         """Stores the new events of items that have at least ``min_events`` of them."""
-        records = []
-        for execution in self._executions:
-            events = execution.progress.events
-            has_result = execution.item.id in self.job.positions
-            if has_result or len(events) - execution.saved_count < min_events:
-                continue
-            while execution.saved_count < len(events):
-                new_events = events[
-                    execution.saved_count : execution.saved_count
-                    + MAX_EVENTS_PER_RECORD
-                ]
-                records.append(
-                    encode_progress(
-                        self.job.id,
-                        execution.item.id,
-                        execution.saved_count,
-                        new_events,
-                    )
+        async with self._checkpoint_lock:
+            records = [
+                record
+                for execution in self._executions
+                if execution.item.id not in self.job.positions
+                for record in execution.checkpoint.make_records(
+                    execution.progress.events, min_events
                 )
-                execution.saved_count += len(new_events)
-        for batch in split_records(records, MAX_APPEND_BYTES):
-            await self._append(batch)
+            ]
+            for batch in split_records(records, MAX_APPEND_BYTES):
+                await self._append(batch)
 
     async def _store_results(self, results: list[ItemResult]) -> None:
         records = [
--- a/buckthornstile/jobs/__init__.py
+++ b/buckthornstile/jobs/__init__.py
@@ -1,11 +1,11 @@
 """Batch jobs: their types, their records in the store and the state of all jobs."""
 
+from buckthornstile.jobs._progress import ProgressCheckpoint, choose_progress
 from buckthornstile.jobs._records import (
     JobRecord,
     OwnerClaim,
     encode_claim,
     encode_end,
-    encode_progress,
     encode_result,
     encode_specification,
 )
@@ -31,12 +31,13 @@
     "JobSpecification",
     "JobTable",
     "OwnerClaim",
+    "ProgressCheckpoint",
     "ResultState",
     "ScoreCall",
     "VersionSpan",
+    "choose_progress",
     "encode_claim",
     "encode_end",
-    "encode_progress",
     "encode_result",
     "encode_specification",
 ]
--- a/buckthornstile/jobs/_table.py
+++ b/buckthornstile/jobs/_table.py
@@ -187,15 +187,16 @@
         known = self._complete_results.get((account, item.id))
         return known[1] if known is not None and known[0] == item else None
 
-    def find_progress(self, account: AccountId, item: JobItem) -> list[StreamEvent]:
-        """Returns an account's longest stored progress of the same item in any job."""
-        found: list[StreamEvent] = []
-        for name in self._jobs_by_item.get((account, item.id), ()):
-            job = self.jobs[name]
-            if job.items[item.id] == item:
-                events = job.get_progress(item.id)
-                found = events if len(events) > len(found) else found
-        return found
+    def list_progress(
+        self, account: AccountId, item: JobItem
+    ) -> dict[JobId, list[StreamEvent]]:
+        """Returns an account's stored progress of the same item in each of its jobs."""
+        names = self._jobs_by_item.get((account, item.id), ())
+        return {
+            name: self.jobs[name].get_progress(item.id)
+            for name in sorted(names)
+            if self.jobs[name].items[item.id] == item
+        }
 
     def drop_partition(self, part: int) -> None:
         """Removes the jobs of a partition that this process no longer reads."""
