End the reading of requests in a planned stop at a fixed time

Cause: reading ended when the wait for open requests ended, and the wait for the last ones had the same deadline. Change: reading ends 3 s after SIGTERM whatever is open, and work an eighth of the grace period before its end. Requests still open then get 504 instead of a closed connection; one whose body is complete only after reading has ended gets 503 and is not run. Why this works: what is read last has more than half of the grace period left. The tests of the stop that shortened the minimum drain time shorten the reading time now.

--- a/buckthornstile/entry/_daemon.py
+++ b/buckthornstile/entry/_daemon.py
@@ -36,6 +36,7 @@
 )
 from buckthornstile.entry._http_listener import HTTPCodec, HTTPListener
 from buckthornstile.entry._presence_publisher import PresencePublisher
+from buckthornstile.entry._stop_schedule import make_stop_schedule
 from buckthornstile.gateway import (
     ClientHandlers,
     GatewayMetrics,
@@ -68,11 +69,8 @@
 """Seconds; longer than any idle timeout that clients are configured with."""
 MAX_READY_STALENESS = 2.5
 """Seconds without the store after which an entry is not ready for new clients."""
-MIN_DRAIN_TIME = 3.0
-"""Seconds; long enough for the external load balancer in front of the entries to see
-two failed readiness probes and to send its clients to other entries."""
-STOP_MARGIN = 1.5
-"""Seconds between the exit of a stopping process and the SIGKILL that would follow."""
+FINAL_WRITE_TIME = 0.2
+"""Seconds for clients to take the errors that end their requests in a stop."""
 STOP_POLL_INTERVAL = 0.05
 """Seconds between two checks for open requests and running jobs during a stop."""
 RESTART_DELAY = 0.2
@@ -401,9 +399,7 @@
         configuration = self.configuration
         revision = configuration.current.revision if configuration else 0
         gauges = {
-            "open_requests": sum(
-                listener.open_request_count for listener in self.listeners
-            ),
+            "open_requests": self._count_open_requests(),
             "jobs_running": self.job_manager.count_running(),
             "jobs_kept": len(self.job_store.table.jobs),
             "upstreams_known": len(self.view.upstreams),
@@ -512,10 +508,8 @@
             self.revocation.cancel_revoked()
 
     async def _drain(self) -> None:
-        log_event(
-            "process.drain",
-            open=sum(listener.open_request_count for listener in self.listeners),
-        )
+        schedule = make_stop_schedule(self.clock(), self.settings.stop_grace)
+        log_event("process.drain", open=self._count_open_requests())
         self.is_stopping = True
         self.presence_publisher.is_leaving = True
         self.job_manager.is_leaving = True
@@ -525,28 +519,26 @@
                 listener.start_draining()
         await self.job_manager.checkpoint_all()
         await self.presence_publisher.publish()
-        drain_started_at = self.clock()
-        deadline = drain_started_at + self.settings.stop_grace - STOP_MARGIN
-        await self._wait_until_idle(drain_started_at + MIN_DRAIN_TIME, deadline)
-        # The response to a request read after this point might not be sent in time.
+        await asyncio.sleep(schedule.reading_ends - self.clock())
+        # However long the open requests take, those that are read last must have time.
         for listener in self.listeners:
             listener.stop_reading()
-        await self._wait_until_idle(self.clock(), deadline)
+        await self._wait_until_idle(schedule.work_ends)
+        log_event("process.drained", open=self._count_open_requests())
+        for listener in self.listeners:
+            listener.abort_open_requests()
+        await self._wait_until_idle(self.clock() + FINAL_WRITE_TIME)
         await self.presence_publisher.publish()
         for listener in self.listeners:
             await listener.close()
 
-    async def _wait_until_idle(self, earliest: float, latest: float) -> None:
-        """Waits until no request is open and no job runs.
+    def _count_open_requests(self) -> int:
+        return sum(listener.open_request_count for listener in self.listeners)
 
-        Args:
-            earliest: The clock reading before which the wait does not end.
-            latest: The clock reading at which the wait ends in any case.
-        """
+    async def _wait_until_idle(self, latest: float) -> None:
+        """Waits until no request is open and no job runs, or until a clock reading."""
         while self.clock() < latest:
-            open_count = sum(listener.open_request_count for listener in self.listeners)
-            open_count += self.job_manager.count_running()
-            if not open_count and self.clock() >= earliest:
+            if not self._count_open_requests() + self.job_manager.count_running():
                 return
             await asyncio.sleep(STOP_POLL_INTERVAL)
 
--- a/buckthornstile/entry/_http_listener.py
+++ b/buckthornstile/entry/_http_listener.py
@@ -125,6 +125,14 @@
         for connection in list(self._idle_connections.values()):
             connection.close()  # type: ignore[attr-defined]
 
+    def abort_open_requests(self) -> None:
+        """Answers the open requests with an error, or breaks off their streams.
+
+        The error states that a request may have run.
+        """
+        for delegate in list(self._open_requests):
+            delegate.abort()
+
     async def close(self) -> None:
         """Stops listening and closes all connections."""
         self._server.stop()
@@ -174,6 +182,8 @@
         self.body_length = 0
         self.is_rejected = False
         self.task: asyncio.Task[None] | None = None
+        self.is_aborted = False
+        self.is_responding = False
 
     def headers_received(
         self,
@@ -206,6 +216,12 @@
         self.task.add_done_callback(lambda _: self.listener.on_request_finished(self))
         self.connection.set_close_callback(self._on_client_disconnected)  # type: ignore[attr-defined]
 
+    def abort(self) -> None:
+        """Cancels the request and answers it, unless its response has begun."""
+        if self.task is not None and not self.is_responding:
+            self.is_aborted = True
+            self.task.cancel()
+
     def on_connection_close(self) -> None:
         self.body.clear()
         self.listener.on_request_finished(self)
@@ -251,14 +267,35 @@
             return
         try:
             response = await self._handle(request)
+            self.is_responding = True
             if isinstance(response, StreamingResponse):
                 await self._write_stream(request, response)
             else:
                 await self._write(request, response, is_last=self.listener.is_draining)
         except asyncio.CancelledError:
-            log_event("client.left", request=request.id, path=request.path[:40])
+            if self.is_aborted and not self.is_responding:
+                await self._write_abort(request)
+            else:
+                log_event("client.left", request=request.id, path=request.path[:40])
+
+    async def _write_abort(self, request: AnyRequest) -> None:
+        log_event("request.aborted", request=request.id, path=request.path[:40])
+        error = BuckthornstileError(
+            ErrorCode.DEADLINE_PASSED,
+            "the entry stopped before the response was complete",
+            verdict=Verdict.MAY_HAVE_RUN,
+        )
+        response = self.listener.codec.render_error(error)
+        await self._write(request, response, is_last=True)
 
     async def _handle(self, request: AnyRequest) -> AnyResponse:
+        if self.listener.is_stopped:
+            # Its body was not complete when reading ended.
+            return self.listener.codec.render_error(
+                BuckthornstileError(
+                    ErrorCode.DRAINING, "the entry is stopping", retry_after=0.0
+                )
+            )
         try:
             return await self.listener.handler(request)
         except Exception as error:
--- a/buckthornstile/entry/tests/test_stop.py
+++ b/buckthornstile/entry/tests/test_stop.py
@@ -8,7 +8,7 @@
 from tornado.iostream import IOStream
 
 from buckthornstile.base import BuckthornstileError
-from buckthornstile.entry import _daemon
+from buckthornstile.entry import _stop_schedule
 from buckthornstile.entry.tests.in_process import (
     API_KEY,
     HOST,
@@ -62,7 +62,7 @@
         await publish()
 
     with (
-        patch.object(_daemon, "MIN_DRAIN_TIME", 0.3),
+        patch.object(_stop_schedule, "MAX_READ_TIME", 0.3),
         patch.object(entry.presence_publisher, "publish", publish_slowly),
     ):
         stop_task = asyncio.create_task(entry._drain())
@@ -108,7 +108,70 @@
     entry = await deployment.add_entry("e1")
     call_task = asyncio.create_task(deployment.send_simple_request("e1", "r1"))
     await deployment.wait_for(lambda: entry.client_listener.open_request_count)
-    with patch.object(_daemon, "MIN_DRAIN_TIME", 0.1):
+    with patch.object(_stop_schedule, "MAX_READ_TIME", 0.1):
         await entry._drain()
     assert (await call_task).status == 200
     assert not entry.client_listener.open_request_count
+
+
+@with_deployment
+async def test_stop_answers_all_requests_that_it_reads_beside_a_long_one(
+    deployment: InProcessDeployment,
+) -> None:
+    """While one request was open, requests were read up to the end and then cut."""
+    worker = deployment.add_worker("w1", PLAIN_SERVICE, work_seconds=0.3)
+    entry = await deployment.add_entry("e1")
+    entry.settings = entry.settings.model_copy(update={"stop_grace": 3.2})
+    worker.faults.add({"kind": "silent", "seconds": 20, "count": 1})
+    long_task = asyncio.create_task(
+        deployment.send_simple_request("e1", "long", target="/once/1")
+    )
+    await deployment.wait_for(worker.list_runs)
+    outcomes: dict[str, object] = {}
+
+    async def send_late(name: str, delay: float) -> None:
+        pool = ConnectionPool()
+        await pool.send(entry.settings.client_address, make_request(f"first-{name}"))
+        await asyncio.sleep(delay)
+        try:
+            response = await pool.send(
+                entry.settings.client_address, make_request(name)
+            )
+            outcomes[name] = response.status
+        except BuckthornstileError as error:
+            outcomes[name] = error.code
+        pool.close()
+
+    tasks = [
+        asyncio.create_task(send_late(f"r{number}", 0.7 + number * 0.15))
+        for number in range(16)
+    ]
+    await asyncio.sleep(0.5)
+    await entry._drain()
+    await asyncio.gather(*tasks)
+    runs = {run["headers"]["Request-Id"] for run in worker.list_runs()}
+    assert {
+        name for name in outcomes if name in runs and outcomes[name] != 200
+    } == set()
+    assert (await long_task).status == 504
+
+
+@with_deployment
+async def test_request_whose_body_ends_after_reading_has_ended_is_not_run(
+    deployment: InProcessDeployment,
+) -> None:
+    worker = deployment.add_worker("w1", PLAIN_SERVICE)
+    entry = await deployment.add_entry("e1")
+    host, _, port = entry.settings.client_address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    head = f"POST /orders/7 HTTP/1.1\r\nHost: {HOST}\r\nCredential: {API_KEY}\r\n"
+    writer.write(f"{head}Request-Id: r1\r\nContent-Length: 5\r\n\r\nhe".encode())
+    await deployment.wait_for(lambda: entry.client_listener.open_request_count)
+    entry.client_listener.start_draining()
+    entry.client_listener.stop_reading()
+    writer.write(b"llo")
+    response = await reader.read()
+    assert response.startswith(b"HTTP/1.1 503 ")
+    assert b"connection: close" in response.lower()
+    assert worker.list_runs() == []
+    writer.close()
