Replace the last usable copy of a model's target version

Cause: an engine that is one version behind loads only on credit, which a named version adds once; the lost load had spent it, and copies that are left were not counted. Change: while no usable engine holds the target version or is loading it, one engine loads it without credit. Also mended by it: the only copy at an ejected engine, a model with a single engine, and models that outnumber their engines. Evidence: six new tests of the planner failed before. A test shows that the missing copy is ordered once.

--- a/buckthornstile/duties/_model_loads.py
+++ b/buckthornstile/duties/_model_loads.py
@@ -51,6 +51,8 @@
 
     It can be newer than the engine's last published record. ``order_count`` is the
     number of load orders that the engine has accepted, or None if not known.
+    ``ordered_model`` is the model of the last order while its load may still be going
+    on.
     """
 
     started_at_ms: int
@@ -58,6 +60,11 @@
     order_count: int | None = None
     loading_until: float = 0.0
     next_poll_at: float | None = None
+    ordered_model: ModelName | None = None
+
+    def is_loading(self, now: float) -> bool:
+        """Whether the engine is loading, or its state must be polled first."""
+        return self.loading_until > now or self.next_poll_at is not None
 
 
 @dataclass(slots=True)
@@ -75,7 +82,9 @@
     Engines that are two or more versions behind a model's target version load it
     whether or not the model has credit. Engines that are one version behind load only
     while the model has credit: a new target version adds the model's even share of
-    engines (see ``REPLICA_FACTOR``), and each accepted load costs 1.
+    engines (see ``REPLICA_FACTOR``), and each accepted load costs 1. Credit is not
+    needed while no engine that can be used holds the target version, as a step may
+    need exactly that version.
 
     Args:
         view: The topology in effect.
@@ -133,7 +142,7 @@
         engine, _ = self._find_engine(load.upstream)
         if engine is not None:
             engine.versions[load.model] = load.version
-            engine.next_poll_at = None
+            engine.next_poll_at = engine.ordered_model = None
 
     def record_unknown_outcome(self, upstream_id: UpstreamId) -> None:
         """Records that the outcome of a load order is not known."""
@@ -184,6 +193,8 @@
         now = self.clock()
         engine.next_poll_at = now + BUSY_POLL_SECONDS if is_busy else None
         engine.loading_until = now + BUSY_POLL_SECONDS if is_busy else 0.0
+        if not is_busy:
+            engine.ordered_model = None
 
     def _find_engine(
         self, upstream_id: UpstreamId
@@ -210,7 +221,7 @@
         ]
         self._remove_absent_engines()
         loading_count = sum(
-            engine.loading_until > now or engine.next_poll_at is not None
+            engine.is_loading(now)
             for upstream, engine in engines
             if not self.is_ejected(upstream)
         )
@@ -229,7 +240,10 @@
             replicas = self._choose_replicas(
                 model, target_version, engines, replica_count, replica_counts
             )
-            candidates += self._list_candidates(model, target_version, replicas, now)
+            is_available = self._is_version_available(model, target_version, engines)
+            candidates += self._list_candidates(
+                model, target_version, replicas, is_available, now
+            )
         return self._select_loads(candidates, free_slots, now)
 
     def _select_loads(
@@ -247,6 +261,7 @@
                 # An order must state the count of earlier orders, which a poll returns.
                 candidate.engine.next_poll_at = now
                 continue
+            candidate.engine.ordered_model = candidate.load.model
             planned.append(candidate.load)
         return planned
 
@@ -283,11 +298,25 @@
             replica_counts[upstream.id] = replica_counts.get(upstream.id, 0) + 1
         return replicas
 
+    def _is_version_available(
+        self,
+        model: ModelName,
+        version: int,
+        engines: list[tuple[Upstream, _Engine]],
+    ) -> bool:
+        """Whether an engine that can be used holds a version or may be loading it."""
+        return any(
+            engine.versions.get(model, 0) >= version or engine.ordered_model == model
+            for upstream, engine in engines
+            if not self.is_ejected(upstream)
+        )
+
     def _list_candidates(
         self,
         model: ModelName,
         target_version: int,
         replicas: list[tuple[Upstream, _Engine]],
+        is_target_available: bool,
         now: float,
     ) -> list["_LoadCandidate"]:
         """Lists the loads that a model could use now.
@@ -304,16 +333,11 @@
         candidates: list[_LoadCandidate] = []
         optional_count = 0
         for lag, upstream, engine in sorted(lagging, key=lambda entry: -entry[0]):
-            if (
-                lag <= 0
-                or engine.loading_until > now
-                or engine.next_poll_at is not None
-            ):
-                continue
-            if self.is_ejected(upstream):
+            if lag <= 0 or engine.is_loading(now) or self.is_ejected(upstream):
                 continue
             load = PlannedModelLoad(upstream.id, model, target_version)
-            if lag > MAX_VERSION_LAG:
+            is_needed = not is_target_available and not candidates
+            if lag > MAX_VERSION_LAG or is_needed:
                 candidates.append(
                     _LoadCandidate(load, engine, (ready_count + len(candidates), -lag))
                 )
--- a/buckthornstile/duties/tests/test_model_loads.py
+++ b/buckthornstile/duties/tests/test_model_loads.py
@@ -164,3 +164,75 @@
     simulation.ejected = {"e0", "e1"}
     simulation.run(5.0)
     assert simulation.versions["e2"]["m0"] == simulation.versions["e3"]["m0"] == 3
+
+
+def count_holders(simulation: Simulation, model: str, version: int) -> int:
+    return sum(
+        simulation.versions[upstream_id][model] == version
+        for upstream_id in simulation.view.upstreams
+        if upstream_id not in simulation.ejected
+    )
+
+
+def test_lost_engine_with_the_only_copy_of_the_target_version_is_replaced() -> None:
+    """A step that needs the newest version waited for an engine that had been lost."""
+    simulation = Simulation(engines=4, models=3)
+    simulation.set_target_version("m0", 2)
+    simulation.run(7.0)
+    (holder,) = {load.upstream for _, load in simulation.loads}
+    simulation.view.remove_upstream(holder, simulation.now)
+    simulation.run(2.0)
+    assert count_holders(simulation, "m0", 2) == 1
+    assert len(simulation.loads) == 2
+
+
+def test_ejected_engine_with_the_only_copy_of_the_target_version_is_replaced() -> None:
+    simulation = Simulation(engines=4, models=3)
+    simulation.set_target_version("m0", 2)
+    simulation.run(7.0)
+    simulation.ejected = {load.upstream for _, load in simulation.loads}
+    simulation.run(2.0)
+    assert count_holders(simulation, "m0", 2) == 1
+
+
+def test_each_loss_of_the_only_copy_is_replaced() -> None:
+    simulation = Simulation(engines=4, models=3)
+    simulation.set_target_version("m0", 2)
+    simulation.run(3.0)
+    for _ in range(3):
+        holder = next(
+            name
+            for name in simulation.view.upstreams
+            if simulation.versions[name]["m0"] == 2
+        )
+        simulation.view.remove_upstream(holder, simulation.now)
+        simulation.run(2.0)
+        assert count_holders(simulation, "m0", 2) == 1
+
+
+def test_only_engine_loads_the_target_version() -> None:
+    simulation = Simulation(engines=1, models=1)
+    simulation.set_target_version("m0", 2)
+    simulation.run(2.0)
+    assert simulation.versions["e0"]["m0"] == 2
+
+
+def test_models_that_outnumber_engines_all_load_their_target_versions() -> None:
+    simulation = Simulation(engines=2, models=5)
+    for model in simulation.models:
+        simulation.set_target_version(model, 2)
+    simulation.run(8.0)
+    for model in simulation.models:
+        assert count_holders(simulation, model, 2) >= 1
+
+
+def test_missing_copy_is_ordered_once_while_its_load_is_pending() -> None:
+    simulation = Simulation(engines=4, models=3)
+    simulation.set_target_version("m0", 2)
+    simulation.run(7.0)
+    (holder,) = {load.upstream for _, load in simulation.loads}
+    simulation.view.remove_upstream(holder, simulation.now)
+    orders = 0
+    for _ in range(9):
+        orders += len(simulation.step())
+    assert orders == 1
