Run an item from the start elsewhere if an engine sends events without end

Found while looking into a report: an engine whose well-formed events had no end. What callers saw: no result. Up to 64 MB of events were kept for each run, and the next engine was asked to go on after the last of them. Cause: the limits for responses counted only bodies that are collected whole. Change: the bytes of a run count against these limits, and an item may have as many events as it states tokens, or 4,096. Beyond that its events are discarded, those in the store too, since it is not known which are sound.

--- a/buckthornstile/entry/tests/test_endless_responses.py
+++ b/buckthornstile/entry/tests/test_endless_responses.py
@@ -1,6 +1,8 @@
 """Upstreams whose responses have no end, seen by the callers of an entry."""
 
 import asyncio
+import itertools
+from collections.abc import Iterator
 
 import pytest
 
@@ -13,8 +15,10 @@
     make_job,
     with_deployment,
 )
+from buckthornstile.entry.tests.raw_upstream import RawUpstream
 from buckthornstile.entry.tests.test_streams import add_route, read_stream
 from buckthornstile.http_client import ResponseLimit
+from buckthornstile.http_client._response_limit import DEFAULT_MAX_RESPONSE_BYTES
 from buckthornstile.platform._upstreams import MAX_EVENT_BYTES
 
 FLOOD = {"kind": "endless"}
@@ -93,3 +97,45 @@
         check_run_has_ended(deployment, "m1")
 
     test()
+
+
+STREAM_HEAD = (
+    b"HTTP/1.1 200 OK\r\nServer-Stamp: s1\r\nWeight-Versions: 1\r\n"
+    b"Content-Type: text/event-stream\r\n\r\n"
+)
+
+
+def generate_events(data: bytes, batch: int = 1) -> Iterator[bytes]:
+    """Yields events without end, some at a time."""
+    for first in itertools.count(1, batch):
+        numbers = range(first, first + batch)
+        yield b"".join(b"id: %d\ndata: %s\n\n" % (n, data) for n in numbers)
+
+
+@pytest.mark.parametrize("data", [b"x", b"x" * 1000], ids=["many", "large"])
+def test_item_whose_events_have_no_end_is_run_from_the_start_elsewhere(
+    data: bytes,
+) -> None:
+    """All events were kept, 64 MB of them for each run."""
+
+    @with_deployment
+    async def test(deployment: InProcessDeployment) -> None:
+        async def respond(writer: asyncio.StreamWriter, request_id: str) -> None:
+            writer.write(STREAM_HEAD)
+            await endless.flood(writer, generate_events(data, batch=100))
+
+        endless = RawUpstream(deployment, respond)
+        await endless.start("m1", MODEL_SERVICE)
+        deployment.add_worker("w1", PLAIN_SERVICE)
+        deployment.add_worker("m2", MODEL_SERVICE)
+        await deployment.add_entry("e1")
+        assert await deployment.submit_job("e1", make_job(4), "j1") == 202
+        results = await deployment.wait_for_results("e1", "j1", 4)
+        assert {result["text"] for result in results} == {
+            make_expected_text(f"i{number}") for number in range(4)
+        }
+        assert endless.request_ids
+        limit = DEFAULT_MAX_RESPONSE_BYTES + SOCKET_BUFFER_BYTES
+        assert endless.sent_bytes <= len(endless.request_ids) * limit
+
+    test()
--- a/buckthornstile/gateway/_item_execution.py
+++ b/buckthornstile/gateway/_item_execution.py
@@ -44,9 +44,12 @@
 MAX_VERSION_WAIT = 0.5
 """Seconds for which an item waits for an upstream that holds the version of its events,
 while others could run it from the start."""
+AVOIDED_AFTER = frozenset(
+    {RunOutcome.BROKEN, RunOutcome.TIMED_OUT, RunOutcome.SLOW, RunOutcome.TOO_LONG}
+)
+"""Outcomes after which an item avoids the upstream of the run."""
 MAX_AVOIDED_UPSTREAMS = 2
-"""Maximum number of upstreams that an item avoids: the latest ones whose runs broke,
-timed out or were slow."""
+"""Maximum number of upstreams that an item avoids at a time: the latest ones."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -160,6 +163,8 @@
             version=self._get_required_version(route, upstream),
         )
         permit.release()
+        if len(self.progress.events) < self.checkpoint.event_count:
+            self.checkpoint.discard()
         if outcome is not RunOutcome.REFUSED:
             self.waiting_since = None
             self.runs.append(f"{upstream.id}:{outcome.value}")
@@ -196,7 +201,7 @@
             events=len(self.progress.events),
             status=self.progress.last_status,
         )
-        if outcome in (RunOutcome.BROKEN, RunOutcome.TIMED_OUT, RunOutcome.SLOW):
+        if outcome in AVOIDED_AFTER:
             self.avoided = [*self.avoided[1 - MAX_AVOIDED_UPSTREAMS :], upstream.id]
         else:
             await asyncio.sleep(FAILURE_RETRY_DELAY)
--- a/buckthornstile/gateway/_item_runner.py
+++ b/buckthornstile/gateway/_item_runner.py
@@ -32,6 +32,8 @@
 """Version assumed for a response that names no version."""
 RUN_TIMEOUT = 10.0
 """Remaining time that is stated to an upstream for one run, in seconds."""
+MIN_EVENT_LIMIT = 4096
+"""Number of events that each item may have, however few tokens it states."""
 REFUSAL_BACKOFF_TIME = 0.08
 """Seconds for which an upstream is avoided after it refused a run."""
 
@@ -46,6 +48,7 @@
     BROKEN = "broken"
     TIMED_OUT = "silent"
     SLOW = "slow"
+    TOO_LONG = "too_long"
     STALE_VERSION = "too_old"
 
 
@@ -137,8 +140,13 @@
             last_event_id=progress.get_last_event_id(),
             version=version,
         )
-        run = _Run(self, upstream, progress, permit, minimum_version, model)
-        return await run.execute(call)
+        # An event holds at least one token.
+        max_events = max(item.tokens, MIN_EVENT_LIMIT)
+        run = _Run(self, upstream, progress, permit, minimum_version, model, max_events)
+        try:
+            return await run.execute(call)
+        finally:
+            self.pool.limit.release(run)
 
 
 class _Run:
@@ -150,8 +158,10 @@
         permit: Permit,
         minimum_version: int,
         model: ModelName | None,
+        max_events: int,
     ) -> None:
         self.model = model
+        self.max_events = max_events
         self.permit = permit
         self.runner = runner
         self.upstream = upstream
@@ -165,6 +175,7 @@
         self.is_stale = False
         self.is_broken = False
         self.is_slow = False
+        self.is_too_long = False
         self.event_times: deque[float] = deque(maxlen=LATENCY_WINDOW_EVENTS + 1)
         self.status = 0
         self.task: asyncio.Task[HTTPResponse] | None = None
@@ -228,6 +239,9 @@
     def _on_data(self, chunk: bytes) -> None:
         if self.parser is None or self.is_broken:
             return
+        self.runner.pool.limit.grow(self, len(chunk))
+        if self.is_too_long:
+            return
         try:
             events = self.parser.feed(chunk)
         except ValueError:
@@ -242,6 +256,9 @@
         if self.is_broken or not is_next or event.version == NO_VERSION:
             self._mark_broken()
             return
+        if len(self.progress.events) >= self.max_events:
+            self.abort(f"the text has more than {self.max_events} events")
+            return
         now = self.loop.time()
         if self.event_count:
             self.runner.balancer.record_latency(self.upstream, now - self.last_event_at)
@@ -266,6 +283,13 @@
             self.is_slow = True
             self._cancel()
 
+    def abort(self, reason: str) -> None:
+        """Discards all events of the item: it is not known which of them are sound."""
+        log_event("item.too_long", upstream=self.upstream.id, reason=reason)
+        self.is_too_long = True
+        self.progress.events = []
+        self._mark_broken()
+
     def _mark_broken(self) -> None:
         self.is_broken = True
         self._cancel()
@@ -279,6 +303,9 @@
         assert task is not None
         if self.is_stale:
             return RunOutcome.STALE_VERSION
+        if self.is_too_long:
+            balancer.record_failure(self.upstream)
+            return RunOutcome.TOO_LONG
         if self.is_slow and not task.done():
             return RunOutcome.SLOW
         if self.is_slow and task.cancelled():
