Limit the events that wait for a client by their bytes

Found while looking into a report: an upstream that sends large events without end to a client that does not read. What would have been seen: up to 64 events of up to 1 MB were buffered for each such client; a few of them exceed the memory of a VM. Cause: the buffer's limit was a number of events only. Change: a buffer of its own, limited to 64 events and 256 KB; while it is full, reading from the upstream pauses.

--- a/buckthornstile/entry/tests/test_endless_responses.py
+++ b/buckthornstile/entry/tests/test_endless_responses.py
@@ -8,6 +8,9 @@
 
 from buckthornstile.base import BuckthornstileError
 from buckthornstile.entry.tests.in_process import (
+    API_KEY,
+    HOST,
+    MODEL_NAME,
     MODEL_SERVICE,
     PLAIN_SERVICE,
     InProcessDeployment,
@@ -139,3 +142,29 @@
         assert endless.sent_bytes <= len(endless.request_ids) * limit
 
     test()
+
+
+@with_deployment
+async def test_large_events_for_a_client_that_does_not_read_are_not_kept(
+    deployment: InProcessDeployment,
+) -> None:
+    """Up to 64 events of 1 MB were buffered for each such client."""
+
+    async def respond(writer: asyncio.StreamWriter, request_id: str) -> None:
+        writer.write(STREAM_HEAD)
+        await upstream.flood(writer, generate_events(b"x" * 900_000))
+
+    add_route(deployment, resumable=False)
+    upstream = RawUpstream(deployment, respond)
+    await upstream.start("m1", MODEL_SERVICE)
+    entry = await deployment.add_entry("e1")
+    host, _, port = entry.settings.client_address.rpartition(":")
+    _, writer = await asyncio.open_connection(host, int(port), limit=1 << 10)
+    head = f"POST /notes/1 HTTP/1.1\r\nHost: {HOST}\r\nCredential: {API_KEY}\r\n"
+    head += f"Request-Id: r1\r\nModel: {MODEL_NAME}\r\nContent-Length: 0\r\n\r\n"
+    writer.write(head.encode())
+    await deployment.wait_for(lambda: upstream.sent_bytes)
+    await asyncio.sleep(4.0)
+    # The kernel buffers on both ways, and a few events in the entry.
+    assert upstream.sent_bytes <= 3 * SOCKET_BUFFER_BYTES
+    writer.close()
--- a/buckthornstile/gateway/_stream_proxy.py
+++ b/buckthornstile/gateway/_stream_proxy.py
@@ -16,6 +16,7 @@
     CallSender,
     is_stale_configuration_error,
 )
+from buckthornstile.gateway._event_buffer import EncodedEvent, EventBuffer
 from buckthornstile.gateway._fingerprint import compute_fingerprint
 from buckthornstile.gateway._load_balancer import LoadBalancer
 from buckthornstile.gateway._slot_waiting import (
@@ -30,7 +31,6 @@
     Response,
     ResponseHead,
     RoutedCall,
-    StreamEvent,
     StreamingResponse,
     UpstreamCall,
 )
@@ -44,9 +44,6 @@
 
 STREAM_IDLE_TIMEOUT = 1.2
 """Seconds without an event after which a resumable stream moves to another upstream."""
-MAX_BUFFERED_EVENTS = 64
-"""Number of events buffered for a slow client; while the buffer is full, reading from
-the upstream pauses."""
 
 
 class StreamProxy:
@@ -103,9 +100,7 @@
         self.permit = permit
         self.head: ResponseHead | None = None
         self.parser: UpstreamEventParser | None = None
-        self.events: asyncio.Queue[tuple[StreamEvent, bytes]] = asyncio.Queue(
-            MAX_BUFFERED_EVENTS
-        )
+        self.events = EventBuffer()
         self.head_or_end = asyncio.Event()
         self.is_malformed = False
         self.task = asyncio.create_task(
@@ -133,7 +128,7 @@
             return None
         return self.head
 
-    async def next_event(self, deadline: float) -> tuple[StreamEvent, bytes] | None:
+    async def next_event(self, deadline: float) -> EncodedEvent | None:
         """Returns the next event, or None if the stream ended or the deadline passed.
 
         Args:
@@ -142,7 +137,7 @@
         Returns:
             The event with the block of bytes that encodes it, or None.
         """
-        if self.events.empty() and self.task.done():
+        if self.events.is_empty() and self.task.done():
             return None
         get_task = asyncio.create_task(self.events.get())
         remaining = max(0.0, deadline - asyncio.get_running_loop().time())
@@ -156,7 +151,7 @@
                 return get_task.result()
         finally:
             get_task.cancel()
-        return self.events.get_nowait() if not self.events.empty() else None
+        return self.events.get_nowait() if not self.events.is_empty() else None
 
     def is_complete(self) -> bool:
         """Whether the upstream ended the stream cleanly, between two events."""
@@ -200,7 +195,7 @@
             return None
         return self._enqueue(events) if events else None
 
-    async def _enqueue(self, events: list[tuple[StreamEvent, bytes]]) -> None:
+    async def _enqueue(self, events: list[EncodedEvent]) -> None:
         for event in events:
             await self.events.put(event)
 
