List no result of several versions on a route that requires a single one

Cause: the mode of load orders was taken from the newest configuration, though items of the old one still ran, and nothing compared the versions of a result.

--- a/buckthornstile/duties/__init__.py
+++ b/buckthornstile/duties/__init__.py
@@ -10,6 +10,7 @@
     decode_duty_record,
     encode_duty_record,
 )
+from buckthornstile.duties._load_modes import LoadModePolicy
 from buckthornstile.duties._model_loads import ModelLoadPlanner, PlannedModelLoad
 from buckthornstile.duties._usage import UsageCounter, UsageTotals
 
@@ -19,6 +20,7 @@
     "DutyRecord",
     "Lease",
     "LeaseRecord",
+    "LoadModePolicy",
     "ModelLoadPlanner",
     "PlannedModelLoad",
     "SealRecord",
--- a/buckthornstile/entry/_components.py
+++ b/buckthornstile/entry/_components.py
@@ -189,6 +189,7 @@
         planner=ModelLoadPlanner(
             view, clock=resources.clock, is_ejected=balancer.is_ejected
         ),
+        clock=resources.clock,
         pool=resources.pool,
         on_version_loaded=presence_publisher.request_publish,
         record_failure=balancer.record_failure,
--- a/buckthornstile/entry/tests/test_item_runner.py
+++ b/buckthornstile/entry/tests/test_item_runner.py
@@ -7,7 +7,7 @@
 from buckthornstile.base import BuckthornstileError, ErrorCode, Verdict
 from buckthornstile.entry.tests.test_load_balancer import BalancerSetup
 from buckthornstile.gateway._item_runner import ItemProgress, ItemRunner, RunOutcome
-from buckthornstile.http_client import HTTPResponse
+from buckthornstile.http_client import HTTPResponse, ResponseLimit
 from buckthornstile.jobs import JobItem
 
 
@@ -16,6 +16,7 @@
 
     def __init__(self, error: Exception) -> None:
         self.error = error
+        self.limit = ResponseLimit()
 
     async def send(self, *arguments: object, **options: object) -> HTTPResponse:
         raise self.error
--- a/buckthornstile/entry/tests/test_single_version.py
+++ b/buckthornstile/entry/tests/test_single_version.py
@@ -157,3 +157,53 @@
     owner, other = await deployment.find_job_owner("j1")
     await deployment.kill_entry(owner)
     await expect_whole_result(deployment, other, "j1", 2)
+
+
+async def check_version_change_during_a_run(
+    deployment: InProcessDeployment, *, becomes_single: bool
+) -> None:
+    """Checks the result of an item whose engine changes its version in its run."""
+    if not becomes_single:
+        require_single_version(deployment)
+    deployment.add_worker("w1", PLAIN_SERVICE)
+    engine = add_engine(deployment, "m1")
+    await deployment.add_entry("e1")
+    assert await deployment.submit_job("e1", make_job(1), "j1") == 202
+    await wait_for_progress(deployment, "e1", "j1")
+    set_engine_version(engine, 2)
+    if becomes_single:
+        require_single_version(deployment)
+    await expect_whole_result(deployment, "e1", "j1", 2)
+
+
+@with_deployment
+async def test_item_whose_engine_changes_its_version_is_run_again(
+    deployment: InProcessDeployment,
+) -> None:
+    """The result named both versions."""
+    await check_version_change_during_a_run(deployment, becomes_single=False)
+
+
+@with_deployment
+async def test_route_that_becomes_single_version_lists_no_mixed_result(
+    deployment: InProcessDeployment,
+) -> None:
+    await check_version_change_during_a_run(deployment, becomes_single=True)
+
+
+@with_deployment
+async def test_order_after_a_route_was_moved_lets_its_items_finish(
+    deployment: InProcessDeployment,
+) -> None:
+    """The old engines continued the running items under the new version."""
+    require_single_version(deployment)
+    deployment.add_worker("w1", PLAIN_SERVICE)
+    engine = add_engine(deployment, "m1")
+    entry = await deployment.add_entry("e1")
+    version = deployment.configuration_version
+    deployment.routes[-1]["service"] = "other-models"
+    deployment.put_configuration()
+    await deployment.wait_for(lambda: entry.view.configuration.version > version)
+    deployment.set_version(2)
+    await deployment.wait_for(engine.list_load_orders)
+    assert [order["mode"] for order in engine.list_load_orders()] == ["wait"]
--- a/buckthornstile/gateway/_item_execution.py
+++ b/buckthornstile/gateway/_item_execution.py
@@ -161,6 +161,7 @@
             minimum_version=specification.minimum_version,
             model=specification.model,
             version=self._get_required_version(route, upstream),
+            requires_single_version=route.requires_single_version,
         )
         permit.release()
         if len(self.progress.events) < self.checkpoint.event_count:
@@ -168,6 +169,9 @@
         if outcome is not RunOutcome.REFUSED:
             self.waiting_since = None
             self.runs.append(f"{upstream.id}:{outcome.value}")
+        if outcome is RunOutcome.COMPLETE and self._has_forbidden_versions(route):
+            self._restart("versions are mixed")
+            return None
         if outcome is RunOutcome.COMPLETE:
             if specification.host == API_HOST:
                 age = dependencies.clock() - self.started_at
@@ -182,6 +186,17 @@
         await self._handle_unfinished_run(upstream, outcome, events_before)
         return None
 
+    def _has_forbidden_versions(self, route: Route) -> bool:
+        """Whether several versions made the text although one must make it.
+
+        The route may have been changed to require that during the run.
+        """
+        current_route = self.context.find_route() or route
+        requires_single_version = (
+            route.requires_single_version or current_route.requires_single_version
+        )
+        return requires_single_version and self.progress.is_mixed()
+
     async def _handle_unfinished_run(
         self, upstream: Upstream, outcome: RunOutcome, events_before: int
     ) -> None:
@@ -263,6 +278,9 @@
         """
         if not route.requires_single_version or not self.progress.events:
             return
+        if self.progress.is_mixed():
+            self._restart("versions are mixed")
+            return
         version = self.progress.events[0].version
         balancer = self.context.dependencies.balancer
         upstreams = [
--- a/buckthornstile/gateway/_item_runner.py
+++ b/buckthornstile/gateway/_item_runner.py
@@ -50,6 +50,7 @@
     SLOW = "slow"
     TOO_LONG = "too_long"
     STALE_VERSION = "too_old"
+    OTHER_VERSION = "other_version"
 
 
 @dataclass(slots=True)
@@ -78,6 +79,10 @@
             for version, events in groupby(self.events, lambda event: event.version)
         )
 
+    def is_mixed(self) -> bool:
+        """Whether several versions produced the events."""
+        return any(event.version != self.events[0].version for event in self.events)
+
     def render_text(self) -> str:
         """Returns the text of the item, joined from the data of all events."""
         return "\n".join(event.data for event in self.events)
@@ -108,6 +113,7 @@
         minimum_version: int,
         model: ModelName | None,
         version: int | None,
+        requires_single_version: bool = False,
     ) -> RunOutcome:
         """Runs an item at an upstream, continuing after its last event.
 
@@ -122,6 +128,8 @@
             minimum_version: Oldest version whose events are accepted.
             model: The model that runs the item, or None.
             version: The only version that may run the item, or None for any.
+            requires_single_version: Whether the run must end before an event of
+                another version than the first event's.
 
         Returns:
             The outcome of the run.
@@ -142,7 +150,16 @@
         )
         # An event holds at least one token.
         max_events = max(item.tokens, MIN_EVENT_LIMIT)
-        run = _Run(self, upstream, progress, permit, minimum_version, model, max_events)
+        run = _Run(
+            self,
+            upstream,
+            progress,
+            permit,
+            minimum_version=minimum_version,
+            model=model,
+            max_events=max_events,
+            requires_single_version=requires_single_version,
+        )
         try:
             return await run.execute(call)
         finally:
@@ -156,10 +173,13 @@
         upstream: Upstream,
         progress: ItemProgress,
         permit: Permit,
+        *,
         minimum_version: int,
         model: ModelName | None,
         max_events: int,
+        requires_single_version: bool,
     ) -> None:
+        self.requires_single_version = requires_single_version
         self.model = model
         self.max_events = max_events
         self.permit = permit
@@ -176,6 +196,7 @@
         self.is_broken = False
         self.is_slow = False
         self.is_too_long = False
+        self.has_other_version = False
         self.event_times: deque[float] = deque(maxlen=LATENCY_WINDOW_EVENTS + 1)
         self.status = 0
         self.task: asyncio.Task[HTTPResponse] | None = None
@@ -237,7 +258,7 @@
         self.parser = UpstreamEventParser(self.head.version)
 
     def _on_data(self, chunk: bytes) -> None:
-        if self.parser is None or self.is_broken:
+        if self.parser is None or self.is_broken or self.has_other_version:
             return
         self.runner.pool.limit.grow(self, len(chunk))
         if self.is_too_long:
@@ -253,10 +274,21 @@
     def _on_event(self, event: StreamEvent) -> None:
         last_event_id = self.progress.get_last_event_id()
         is_next = last_event_id is None or event.id == last_event_id + 1
+        if self.has_other_version:
+            return
         if self.is_broken or not is_next or event.version == NO_VERSION:
             self._mark_broken()
             return
-        if len(self.progress.events) >= self.max_events:
+        events = self.progress.events
+        if (
+            self.requires_single_version
+            and events
+            and event.version != events[0].version
+        ):
+            self.has_other_version = True
+            self._cancel()
+            return
+        if len(events) >= self.max_events:
             self.abort(f"the text has more than {self.max_events} events")
             return
         now = self.loop.time()
@@ -266,7 +298,7 @@
         self.last_event_at = now
         self.event_times.append(now)
         self.event_count += 1
-        self.progress.events.append(event)
+        events.append(event)
         self._check_latency(now)
 
     def _check_latency(self, now: float) -> None:
@@ -303,6 +335,8 @@
         assert task is not None
         if self.is_stale:
             return RunOutcome.STALE_VERSION
+        if self.has_other_version:
+            return RunOutcome.OTHER_VERSION
         if self.is_too_long:
             balancer.record_failure(self.upstream)
             return RunOutcome.TOO_LONG
--- a/buckthornstile/gateway/_model_load_dispatcher.py
+++ b/buckthornstile/gateway/_model_load_dispatcher.py
@@ -3,13 +3,13 @@
 import asyncio
 from collections.abc import Callable, Coroutine
 
-from buckthornstile.base import BuckthornstileError, ServiceName, UpstreamId
-from buckthornstile.duties import ModelLoadPlanner, PlannedModelLoad
+from buckthornstile.base import BuckthornstileError, UpstreamId
+from buckthornstile.duties import LoadModePolicy, ModelLoadPlanner, PlannedModelLoad
 from buckthornstile.gateway._lease_manager import LeaseManager
 from buckthornstile.gateway._presence import LoadedVersions
 from buckthornstile.http_client import ConnectionPool
 from buckthornstile.logs import log_event
-from buckthornstile.messages import LoadMode, LoadOrder, LoadOrderResult
+from buckthornstile.messages import LoadOrder, LoadOrderResult
 from buckthornstile.platform import (
     decode_order_answer,
     decode_report,
@@ -33,6 +33,7 @@
         lease_manager: Manages the lease.
         view: The topology in effect.
         planner: Plans the loads.
+        clock: Returns the monotonic time in seconds.
         pool: Connections to the upstreams.
         on_version_loaded: Called when an engine reports a newer version.
         record_failure: Called with an upstream that sent no valid report.
@@ -45,6 +46,7 @@
         *,
         view: TopologyView,
         planner: ModelLoadPlanner,
+        clock: Callable[[], float],
         pool: ConnectionPool,
         on_version_loaded: Callable[[], None],
         record_failure: Callable[[Upstream], None],
@@ -53,6 +55,8 @@
         self.lease_manager = lease_manager
         self.view = view
         self.planner = planner
+        self.clock = clock
+        self.mode_policy = LoadModePolicy(view)
         self.pool = pool
         self.on_version_loaded = on_version_loaded
         self.record_failure = record_failure
@@ -60,6 +64,8 @@
 
     async def order(self) -> None:
         """Starts sending the orders and report requests that are due."""
+        # Also without the lease, which this process may get soon.
+        self.mode_policy.observe(self.clock())
         if not self.lease_manager.can_act():
             return
         loads = self.planner.plan()
@@ -94,7 +100,7 @@
             upstream=load.upstream,
             model=load.model,
             version=load.version,
-            mode=self._choose_mode(upstream.service),
+            mode=self.mode_policy.choose(upstream.service, self.clock()),
             holder=self.node,
             term=self.lease_manager.duty_state.term,
             expected_orders=expected_orders,
@@ -124,15 +130,6 @@
             outcome=outcome,
         )
 
-    def _choose_mode(self, service: ServiceName) -> LoadMode:
-        configuration = self.view.configuration
-        routes = configuration.routes if configuration else ()
-        for route in routes:
-            service_names = [name for name, _ in route.services]
-            if service in service_names and route.requires_single_version:
-                return LoadMode.FINISH_FIRST
-        return LoadMode.CONTINUE
-
     async def _request_report(self, name: UpstreamId) -> None:
         upstream = self.view.upstreams.get(name)
         if upstream is None:
