Pass the failures of streaming routes on to their clients

Cause: the body was parsed as events, its parse error cancelled the run's task, and the listener took the cancellation of an awaited task for a client that had left. Change: bodies of failures are collected within the limits and passed on; a cancellation that the listener did not order is answered with 500. Ruled out: an incomplete response, and a deadline that does not apply.

--- a/buckthornstile/entry/_http_listener.py
+++ b/buckthornstile/entry/_http_listener.py
@@ -298,7 +298,11 @@
             )
         try:
             return await self.listener.handler(request)
-        except Exception as error:
+        except (Exception, asyncio.CancelledError) as error:
+            task = asyncio.current_task()
+            if task is not None and task.cancelling():
+                raise
+            # A cancelled task that the handler awaited is an error like any other.
             log_event("request.failed", request=request.id, reason=repr(error))
             failure = BuckthornstileError(
                 ErrorCode.INTERNAL,
--- a/buckthornstile/entry/tests/test_calls.py
+++ b/buckthornstile/entry/tests/test_calls.py
@@ -253,3 +253,21 @@
         await deployment.send_simple_request("e1", "r2", headers=headers)
     ).status == 431
     assert (await deployment.send_simple_request("e1", "r3")).status == 200
+
+
+@with_deployment
+async def test_cancelled_inner_task_is_answered_with_an_error(
+    deployment: InProcessDeployment,
+) -> None:
+    """It was taken for a client that had left, and the client got no answer."""
+    entry = await deployment.add_entry("e1")
+
+    async def await_cancelled_task(_: object) -> None:
+        inner = asyncio.create_task(asyncio.sleep(10))
+        inner.cancel()
+        await inner
+
+    entry.client_listener.handler = await_cancelled_task
+    async with asyncio.timeout(3):
+        response = await deployment.send_simple_request("e1", "r1")
+    assert response.status == 500
--- a/buckthornstile/entry/tests/test_streams.py
+++ b/buckthornstile/entry/tests/test_streams.py
@@ -13,6 +13,7 @@
     InProcessDeployment,
     with_deployment,
 )
+from buckthornstile.entry.tests.raw_upstream import RawUpstream
 from buckthornstile.http_client import HTTPRequest
 
 EVENT_COUNT = 12
@@ -208,3 +209,83 @@
     idle[0].faults.add({"kind": "error", "count": 1})
     await read_task
     assert parse_events(chunks) == make_expected_events("r1")
+
+
+FAILURE_BODIES = {
+    "text": b"server error",
+    "binary": b"\xff\xfe\x00\n\n\x80",
+    "odd-event": b"id: x\n\n",
+    "event": b"id: 1\ndata: a\n\n",
+    "empty": b"",
+}
+
+
+def render_failure(status: int, body: bytes, *, length: int | None = None) -> bytes:
+    head = f"HTTP/1.1 {status} Failed\r\nServer-Stamp: s1\r\n"
+    head += f"Content-Length: {len(body) if length is None else length}\r\n\r\n"
+    return head.encode() + body
+
+
+async def read_failure(
+    deployment: InProcessDeployment, response: bytes, *, resumable: bool
+) -> tuple[int, bytes]:
+    """Returns the status and body that a client gets from a failing upstream."""
+
+    async def respond(writer: asyncio.StreamWriter, request_id: str) -> None:
+        writer.write(response)
+        await writer.drain()
+
+    add_route(deployment, resumable=resumable)
+    await RawUpstream(deployment, respond).start("m1", MODEL_SERVICE)
+    await deployment.add_entry("e1")
+    chunks: list[bytes] = []
+    async with asyncio.timeout(6.0):  # the request's deadline is 5 s
+        answer = await read_stream(deployment, "r1", chunks)
+    return answer.status, b"".join(chunks)
+
+
+@pytest.mark.parametrize("resumable", [False, True], ids=["once", "resumable"])
+@pytest.mark.parametrize("status", [400, 422, 500])
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"server error",
+        b"\xff\xfe\x00\n\n\x80",
+        b"id: x\n\n",
+        b"id: 1\ndata: a\n\n",
+        b"",
+    ],
+    ids=["text", "binary", "odd-event", "event", "empty"],
+)
+def test_failure_of_a_streaming_route_reaches_the_client_unchanged(
+    status: int, body: bytes, resumable: bool
+) -> None:
+    """A body that is no event stream left the client without an answer."""
+
+    @with_deployment
+    async def test(deployment: InProcessDeployment) -> None:
+        response = render_failure(status, body)
+        answer = await read_failure(deployment, response, resumable=resumable)
+        assert answer == (status, body)
+
+    test()
+
+
+@pytest.mark.parametrize("body", [b"\xff" * 100, b"text"], ids=["binary", "text"])
+def test_failure_that_ends_early_is_answered_with_an_error(body: bytes) -> None:
+    @with_deployment
+    async def test(deployment: InProcessDeployment) -> None:
+        response = render_failure(500, body, length=1000)
+        status, _ = await read_failure(deployment, response, resumable=False)
+        assert status == 502
+
+    test()
+
+
+@with_deployment
+async def test_failure_with_a_body_that_is_too_large_is_answered_with_an_error(
+    deployment: InProcessDeployment,
+) -> None:
+    response = render_failure(500, b"\xff" * (9 << 20))
+    status, _ = await read_failure(deployment, response, resumable=False)
+    assert status == 502
--- a/buckthornstile/gateway/_stream_proxy.py
+++ b/buckthornstile/gateway/_stream_proxy.py
@@ -42,6 +42,8 @@
 )
 from buckthornstile.topology import Upstream
 
+STREAM_STATUS = 200
+"""Status of a response that is a stream; all others are failures."""
 STREAM_IDLE_TIMEOUT = 1.2
 """Seconds without an event after which a resumable stream moves to another upstream."""
 
@@ -82,6 +84,7 @@
     Attributes:
         head: The response's head, or None before it has arrived.
         events: Events received but not yet proxied, each with its encoded block.
+        failure_body: Body of a response that is a failure and so no stream.
         head_or_end: Set once the head has arrived or the run has ended.
         is_malformed: Whether the upstream sent data that is not a valid stream.
         task: Sends the request and receives the response.
@@ -101,6 +104,8 @@
         self.head: ResponseHead | None = None
         self.parser: UpstreamEventParser | None = None
         self.events = EventBuffer()
+        self.failure_body = bytearray()
+        self.abort_reason = ""
         self.head_or_end = asyncio.Event()
         self.is_malformed = False
         self.task = asyncio.create_task(
@@ -171,6 +176,29 @@
             return error
         raise error
 
+    async def read_failure(self, deadline: float) -> bytes | None:
+        """Returns the body of a failure, or None if the deadline passed first.
+
+        Args:
+            deadline: Deadline in the event loop's time, in seconds.
+
+        Raises:
+            BuckthornstileError: The body is incomplete or too large.
+        """
+        remaining = max(0.0, deadline - asyncio.get_running_loop().time())
+        # Awaiting the task itself would pass its cancellation on to the caller.
+        done, _ = await asyncio.wait({self.task}, timeout=remaining)
+        if not done:
+            return None
+        if self.task.cancelled():
+            raise BuckthornstileError(
+                ErrorCode.ANSWER_TOO_LARGE,
+                self.abort_reason,
+                verdict=Verdict.MAY_HAVE_RUN,
+            )
+        self.task.result()
+        return bytes(self.failure_body)
+
     async def cancel(self) -> None:
         """Closes the upstream's connection if the run has not ended."""
         self.task.cancel()
@@ -182,7 +210,11 @@
         self.head_or_end.set()
 
     def _on_data(self, chunk: bytes) -> Awaitable[None] | None:
-        if self.head is None or self.is_malformed:
+        if self.head is None or self.is_malformed or self.abort_reason:
+            return None
+        if self.head.status != STREAM_STATUS:
+            self.failure_body += chunk
+            self.proxy.pool.limit.grow(self, len(chunk))
             return None
         if self.parser is None:
             self.parser = UpstreamEventParser(self.head.version or 0)
@@ -199,7 +231,14 @@
         for event in events:
             await self.events.put(event)
 
+    def abort(self, reason: str) -> None:
+        """Discards the body of a failure that is too large."""
+        self.abort_reason = reason
+        self.failure_body.clear()
+        self.task.cancel()
+
     def _on_done(self, _: object) -> None:
+        self.proxy.pool.limit.release(self)
         self.permit.release()
         self.head_or_end.set()
 
@@ -249,9 +288,8 @@
                     await self._record_failure(run)
                 elif head.is_refusal:
                     self._record_refusal(run, head)
-                elif head.status != 200:
-                    response = await self._read_complete(run)
-                    return Response(head.status, bytes(response.body), head.headers)
+                elif head.status != STREAM_STATUS:
+                    return await self._read_failure(run, head)
                 elif head.has_content_encoding or not head.signature:
                     await self._record_failure(run)
                 else:
@@ -259,7 +297,7 @@
                     chunks = self._proxy_events(run)
                     await anext(chunks)
                     is_proxied = True
-                    return StreamingResponse(200, head.headers, chunks)
+                    return StreamingResponse(STREAM_STATUS, head.headers, chunks)
             finally:
                 if not is_proxied:
                     await run.cancel()
@@ -311,15 +349,14 @@
         permit = balancer.acquire_permit(upstream)
         return _Run(self.proxy, upstream, call, permit, self.call.before_send)
 
-    async def _read_complete(self, run: _Run) -> HTTPResponse:
+    async def _read_failure(self, run: _Run, head: ResponseHead) -> Response:
         self.may_have_run = True
-        try:
-            async with asyncio.timeout_at(self.call.deadline):
-                return await run.task
-        except TimeoutError as error:
+        body = await run.read_failure(self.call.deadline)
+        if body is None:
             raise self._make_error(
                 ErrorCode.DEADLINE_PASSED, "no complete response before the deadline"
-            ) from error
+            )
+        return Response(head.status, body, head.headers)
 
     async def _record_failure(self, run: _Run) -> None:
         error = run.get_error()
@@ -395,7 +432,7 @@
                 head = await run.wait_for_head(self._get_idle_deadline())
                 if head is not None and head.is_refusal:
                     self._record_refusal(run, head)
-                elif head is None or head.status != 200 or not head.signature:
+                elif head is None or head.status != STREAM_STATUS or not head.signature:
                     await self._record_failure(run)
                 else:
                     return run
