Send nothing new to an upstream that states in a response that it leaves

Cause: a departure was known from the store alone. Another instance at its address and a new incarnation are used. Statements are forgotten 120 s after the record is gone.

--- a/buckthornstile/entry/_daemon.py
+++ b/buckthornstile/entry/_daemon.py
@@ -406,6 +406,7 @@
             "requests_quarantined": self.crash_log.quarantine.count_quarantined(
                 self.get_wall_time()
             ),
+            "upstreams_leaving": self.view.count_leaving(),
             "upstreams_rate_limited": self.balancer.rate_limits.count_limited(),
             "configuration_version": getattr(self.view.configuration, "version", 0),
             "configuration_revision": revision,
--- a/buckthornstile/messages/_types.py
+++ b/buckthornstile/messages/_types.py
@@ -133,7 +133,8 @@
     header, or empty. ``other_upstream`` is the id of the upstream that responded, if
     the request was addressed to another one, or None. ``rate_limit`` is the number of
     requests per second that the upstream accepts from all processes together, or None
-    for no limit.
+    for no limit. ``is_leaving`` tells whether the upstream is about to stop and should
+    get no new requests.
     """
 
     status: int
@@ -145,6 +146,7 @@
     version: int | None = None
     other_upstream: UpstreamId | None = None
     rate_limit: float | None = None
+    is_leaving: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/buckthornstile/platform/_upstreams.py
+++ b/buckthornstile/platform/_upstreams.py
@@ -23,6 +23,7 @@
     EXPECTED_TOKENS_HEADER,
     EXPECTED_UPSTREAM_HEADER,
     EXPECTED_VERSION_HEADER,
+    LEAVING_HEADER,
     LOAD_HEADER,
     MODEL_HEADER,
     NOT_RUN_HEADER,
@@ -113,6 +114,7 @@
         signature=headers.get(SIGNATURE_HEADER, ""),
         load=_decode_load(headers.get(LOAD_HEADER)),
         rate_limit=decode_rate_limit(response),
+        is_leaving=response.headers.get(LEAVING_HEADER, "").strip() == "1",
         version=parse_integer(headers.get(VERSIONS_HEADER)),
         other_upstream=UpstreamId(other_upstream) if other_upstream else None,
     )
--- a/buckthornstile/topology/_view.py
+++ b/buckthornstile/topology/_view.py
@@ -19,6 +19,9 @@
 """Seconds after a store outage within which upstreams renew expired records."""
 MAX_WRITE_DELAY = 6.0
 """Seconds within which the store may still execute a write that got no response."""
+LEAVING_LIFETIME = 120.0
+"""Seconds for which it is remembered that an upstream stated that it leaves, after its
+record was removed: a record that was written before may still be read late."""
 MIN_REJOIN_INTERVAL = 0.5
 """Minimum seconds between two writes that show that a removed upstream is live. A
 delayed write arrives alone, whereas a live upstream keeps writing."""
@@ -35,6 +38,14 @@
     rejoined_at: float | None = None
 
 
+@dataclass(slots=True)
+class _LeavingStatement:
+    """The start of the incarnation that stated that it leaves, and when it did so."""
+
+    started_at_ms: int
+    stated_at: float
+
+
 class TopologyView:
     """The configuration, evacuations, target versions and upstreams in effect.
 
@@ -57,6 +68,7 @@
         self._cold_until: dict[UpstreamId, float] = {}
         self._seen_versions: dict[UpstreamId, tuple[int, dict[ModelName, int]]] = {}
         self._last_writes: dict[UpstreamId, _LastWrite] = {}
+        self._leaving: dict[UpstreamId, _LeavingStatement] = {}
         self.drained_domains: frozenset[FailureDomain] = frozenset()
         self._routes: dict[str, list[Route]] = {}
         self._api_routes: dict[str, Route] = {}
@@ -196,6 +208,41 @@
             self.remove_upstream(upstream_id, now)
         return expired
 
+    def record_leaving(
+        self, upstream_id: UpstreamId, started_at_ms: int, now: float
+    ) -> bool:
+        """Records that an incarnation of an upstream stated that it leaves.
+
+        It receives no new requests from then on, whatever its records in the store say.
+
+        Returns:
+            Whether this was not known before.
+        """
+        known = self._leaving.get(upstream_id)
+        if known is not None and known.started_at_ms >= started_at_ms:
+            return False
+        self._leaving[upstream_id] = _LeavingStatement(started_at_ms, now)
+        return True
+
+    def is_leaving(self, upstream: Upstream) -> bool:
+        """Whether an upstream's incarnation stated in a response that it leaves."""
+        statement = self._leaving.get(upstream.id)
+        return (
+            statement is not None and statement.started_at_ms == upstream.started_at_ms
+        )
+
+    def count_leaving(self) -> int:
+        """Returns the number of listed upstreams that stated that they leave."""
+        return sum(map(self.is_leaving, self.upstreams.values()))
+
+    def prune_leaving(self, now: float) -> None:
+        """Forgets statements of upstreams that have been gone for long."""
+        for upstream_id, statement in list(self._leaving.items()):
+            if upstream_id in self.upstreams:
+                statement.stated_at = max(statement.stated_at, now)
+            elif now - statement.stated_at > LEAVING_LIFETIME:
+                del self._leaving[upstream_id]
+
     def replace_upstreams(
         self, upstreams: Mapping[UpstreamId, Upstream], now: float, *, until: float
     ) -> None:
@@ -266,6 +313,7 @@
             for upstream in self.upstreams.values()
             if upstream.service == service
             and not upstream.is_draining
+            and not self.is_leaving(upstream)
             and upstream.failure_domain not in self.evacuated_domains
             and upstream.failure_domain not in self.drained_domains
         ]
--- a/buckthornstile/topology/tests/test_view.py
+++ b/buckthornstile/topology/tests/test_view.py
@@ -114,3 +114,55 @@
     assert view.find_account("k1") == account
     assert view.apply_target_version("llm", 3)
     assert not view.apply_target_version("llm", 2)
+
+
+def test_upstream_that_stated_that_it_leaves_gets_no_new_requests() -> None:
+    """The statement counts before and without a record in the store."""
+    view = TopologyView()
+    view.apply_upstream(make_upstream(1), 0.0)
+    assert view.record_leaving("w1", 10, 1.0)
+    assert not view.record_leaving("w1", 10, 1.1)
+    assert list_available_ids(view) == []
+    view.apply_upstream(make_upstream(2), 2.0)
+    assert list_available_ids(view) == []
+    assert view.count_leaving() == 1
+
+
+def test_new_incarnation_of_an_upstream_that_left_is_used() -> None:
+    view = TopologyView()
+    view.apply_upstream(make_upstream(1), 0.0)
+    view.record_leaving("w1", 10, 1.0)
+    view.apply_upstream(make_upstream(1, started_at_ms=20), 2.0)
+    assert list_available_ids(view) == ["w1"]
+    # A response of the first incarnation that is read late.
+    assert not view.record_leaving("w1", 10, 2.1)
+    assert list_available_ids(view) == ["w1"]
+
+
+def test_another_upstream_at_the_same_address_is_used() -> None:
+    view = TopologyView()
+    view.apply_upstream(make_upstream(1), 0.0)
+    view.record_leaving("w1", 10, 1.0)
+    view.apply_upstream(make_upstream(1, id="w2"), 2.0)
+    assert list_available_ids(view) == ["w2"]
+
+
+def test_late_record_does_not_bring_back_an_upstream_that_left() -> None:
+    view = TopologyView()
+    view.apply_upstream(make_upstream(1), 0.0)
+    view.record_leaving("w1", 10, 1.0)
+    view.remove_upstream("w1", 2.0)
+    view.prune_leaving(30.0)
+    view.apply_upstream(make_upstream(9), 31.0)
+    assert "w1" in view.upstreams
+    assert list_available_ids(view) == []
+
+
+def test_statements_of_upstreams_that_are_gone_are_forgotten() -> None:
+    view = TopologyView()
+    for number in range(100):
+        view.record_leaving(f"w{number}", 10, 0.0)
+    view.prune_leaving(119.0)
+    assert len(view._leaving) == 100
+    view.prune_leaving(121.0)
+    assert not view._leaving
--- a/standins/worker/_application.py
+++ b/standins/worker/_application.py
@@ -42,6 +42,7 @@
         load_seconds: Seconds that loading a version takes.
         rate_limit: Requests per second that the worker states as its limit in all
             responses, or None.
+        is_leaving: Whether the worker states in all responses that it leaves.
         deadly_body: Body of the requests that crash the worker, or None.
         crash: Ends the worker, if it has a deadly body.
     """
@@ -57,6 +58,7 @@
     is_loading: bool = False
     load_seconds: float = DEFAULT_LOAD_SECONDS
     rate_limit: float | None = None
+    is_leaving: bool = False
     deadly_body: bytes | None = None
     crash: Callable[[], None] = lambda: None
 
@@ -93,6 +95,8 @@
         self.state = state
         self.faults = faults
         self.journal = journal
+        if state.is_leaving:
+            self.set_header("Server-Leaving", "1")
         if state.rate_limit is not None:
             self.set_header("Server-Limit", str(state.rate_limit))
 
