Keep stored progress and results within the sizes that the store accepts

Cause: records were split by numbers of events and appends by numbers of characters, while a character can take six bytes once it is encoded. The stand-in of the store accepted any size. Change: progress is split by encoded bytes, results are appended in batches by encoded bytes, without escapes for characters that need none, and the text of an item is limited to 1 MB. The stand-in refuses records over 256 KB and appends over 2 MB.

--- a/buckthornstile/entry/tests/in_process.py
+++ b/buckthornstile/entry/tests/in_process.py
@@ -457,9 +457,9 @@
     }
 
 
-def make_expected_text(item: str, events: int = 4) -> str:
+def make_expected_text(item: str, events: int = 4, padding: str = "") -> str:
     """Returns the text that a stand-in worker generates for an item."""
-    return "\n".join(f"{item}-{number}" for number in range(1, events + 1))
+    return "\n".join(f"{item}-{number}{padding}" for number in range(1, events + 1))
 
 
 def encode_length_prefixed(data: bytes) -> bytes:
--- a/buckthornstile/entry/tests/test_jobs.py
+++ b/buckthornstile/entry/tests/test_jobs.py
@@ -505,3 +505,27 @@
         item["body"] = os.urandom(100).hex() + f"{number:04}"
     assert await deployment.submit_job("e1", job, "j1") == 413
     assert (await deployment.read_results("e1", "j1"))[0] == 404
+
+
+@with_deployment
+async def test_long_texts_fit_the_records_and_appends_of_the_store(
+    deployment: InProcessDeployment,
+) -> None:
+    """A refused append was repeated for ever, and all results waited behind it."""
+    deployment.add_worker("w1", PLAIN_SERVICE)
+    padding = "\u00e9" * 900 + '"'
+    deployment.add_worker(
+        "m1", MODEL_SERVICE, slots=16, events=100, event_seconds=0.01, padding=padding
+    )
+    await deployment.add_entry("e1")
+    assert await deployment.submit_job("e1", make_job(16), "j1") == 202
+    results: dict[str, str] = {}
+
+    async def read() -> bool:
+        _, data = await deployment.read_results("e1", "j1", after=len(results))
+        results.update((result["id"], result["text"]) for result in data["results"])
+        return len(results) == 16
+
+    await deployment.retry_until_true(read, timeout=20.0)
+    for item, text in results.items():
+        assert text == make_expected_text(item, 100, padding)
--- a/buckthornstile/gateway/_item_runner.py
+++ b/buckthornstile/gateway/_item_runner.py
@@ -34,6 +34,9 @@
 """Remaining time that is stated to an upstream for one run, in seconds."""
 MIN_EVENT_LIMIT = 4096
 """Number of events that each item may have, however few tokens it states."""
+MAX_TEXT_LENGTH = 1 << 20
+"""Maximum number of characters of an item's text; a longer one fits no append to the
+store, and no page of results."""
 REFUSAL_BACKOFF_TIME = 0.08
 """Seconds for which an upstream is avoided after it refused a run."""
 
@@ -192,6 +195,7 @@
         self.loop = asyncio.get_running_loop()
         self.last_event_at = self.loop.time()
         self.event_count = 0
+        self.text_length = sum(len(event.data) for event in progress.events)
         self.is_stale = False
         self.is_broken = False
         self.is_slow = False
@@ -288,8 +292,9 @@
             self.has_other_version = True
             self._cancel()
             return
-        if len(events) >= self.max_events:
-            self.abort(f"the text has more than {self.max_events} events")
+        self.text_length += len(event.data)
+        if len(events) >= self.max_events or self.text_length > MAX_TEXT_LENGTH:
+            self.abort(f"{len(events)} events with {self.text_length} characters")
             return
         now = self.loop.time()
         if self.event_count:
--- a/buckthornstile/gateway/_job_runner.py
+++ b/buckthornstile/gateway/_job_runner.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
 
 from buckthornstile.base import PlatformUnavailableError, ServiceName, UpstreamId
 from buckthornstile.gateway._item_execution import (
@@ -184,7 +184,9 @@
         priority = route.priority if route else 0
         urgency = min(MAX_URGENCY, priority + 1 + SPARE_GROUP_URGENCY * is_spare_group)
         rank = (int(is_spare_group), -item.expected_tokens, position)
-        checkpoint = ProgressCheckpoint(self.job.id, item.id)
+        checkpoint = ProgressCheckpoint(
+            self.job.id, item.id, self.dependencies.store.max_record_bytes
+        )
         execution = ItemExecution(item, self.context, rank, urgency, checkpoint)
         execution.load_progress(route)
         return execution
@@ -239,23 +241,13 @@
                     execution.progress.events, min_events
                 )
             ]
-            for batch in split_records(records, MAX_APPEND_BYTES):
+            groups = ([record] for record in records)
+            for batch in split_groups(groups, MAX_APPEND_BYTES):
                 await self._append(batch)
 
     async def _store_results(self, results: list[ItemResult]) -> None:
-        records = [
-            record
-            for result in results
-            for record in encode_result(
-                self.job.id, result, self.dependencies.store.max_record_bytes
-            )
-        ]
-        records += [
-            JobRecord(key, b"")
-            for result in results
-            for key in self.job.list_progress_keys(result.item)
-        ]
-        await self._append(records)
+        for batch in split_groups(map(self._encode_result, results), MAX_APPEND_BYTES):
+            await self._append(batch)
         log_event(
             "job.results_stored",
             job=self.job.id,
@@ -264,6 +256,13 @@
             items=",".join(result.item for result in results),
         )
 
+    def _encode_result(self, result: ItemResult) -> list[JobRecord]:
+        """Returns the records of a result, and those that delete its progress."""
+        max_record_bytes = self.dependencies.store.max_record_bytes
+        records = encode_result(self.job.id, result, max_record_bytes)
+        progress_keys = self.job.list_progress_keys(result.item)
+        return records + [JobRecord(key, b"") for key in progress_keys]
+
     async def _append(self, records: list[JobRecord]) -> None:
         async with self._append_lock:
             await self._append_next(records)
@@ -281,26 +280,28 @@
             return
 
 
-def split_records(
-    records: Sequence[JobRecord], max_bytes: int
+def split_groups(
+    groups: Iterable[Sequence[JobRecord]], max_bytes: int
 ) -> Iterator[list[JobRecord]]:
-    """Splits records into batches of at most ``max_bytes``.
+    """Joins groups of records into batches of at most ``max_bytes``.
 
-    A record that is longer than that is a batch of its own.
+    A group is never divided; one that is larger than that is a batch of its own.
 
     Example:
-        >>> records = [JobRecord("a", b"12"), JobRecord("b", b"3"), JobRecord("c", b"")]
-        >>> [len(batch) for batch in split_records(records, 4)]
-        [1, 2]
+        >>> groups = [[JobRecord("a", b"12")], [JobRecord("b", b"3")]]
+        >>> [len(batch) for batch in split_groups(groups, 4)]
+        [1, 1]
+        >>> [len(batch) for batch in split_groups(groups, 5)]
+        [2]
     """
     batch: list[JobRecord] = []
     size = 0
-    for record in records:
-        length = len(record.key) + len(record.value)
-        if batch and size + length > max_bytes:
+    for group in groups:
+        group_size = sum(len(record.key) + len(record.value) for record in group)
+        if batch and size + group_size > max_bytes:
             yield batch
             batch, size = [], 0
-        batch.append(record)
-        size += length
+        batch.extend(group)
+        size += group_size
     if batch:
         yield batch
--- a/buckthornstile/jobs/_progress.py
+++ b/buckthornstile/jobs/_progress.py
@@ -3,12 +3,16 @@
 from collections.abc import Collection, Iterable, Sequence
 from dataclasses import dataclass, field
 
-from buckthornstile.jobs._records import JobRecord, encode_progress
+from buckthornstile.jobs._records import (
+    JobRecord,
+    count_events_for_record,
+    encode_progress,
+)
 from buckthornstile.jobs._types import ItemId, JobId
 from buckthornstile.messages import StreamEvent
 
 MAX_EVENTS_PER_RECORD = 50
-"""Number of events in one record; keeps it well below the maximum record size."""
+DEFAULT_MAX_RECORD_BYTES = 256 << 10
 
 
 def choose_progress(
@@ -62,6 +66,7 @@
     Args:
         job: Id of the job.
         item: Id of the item.
+        max_record_bytes: Maximum size of a record.
         event_count: Number of events stored, or being stored.
         keys: Keys of the records that hold them.
         stale_keys: Keys of records whose events were discarded.
@@ -69,6 +74,7 @@
 
     job: JobId
     item: ItemId
+    max_record_bytes: int = DEFAULT_MAX_RECORD_BYTES
     event_count: int = 0
     keys: set[str] = field(default_factory=set)
     stale_keys: set[str] = field(default_factory=set)
@@ -85,7 +91,7 @@
         """Returns the records that bring the store up to date.
 
         Records of discarded events are deleted first, so that a reader never joins
-        the events of two runs.
+        the events of two runs. Events from one on that fits no record are not stored.
 
         Args:
             events: All events of the item.
@@ -98,6 +104,10 @@
         while self.event_count < len(events):
             end = self.event_count + MAX_EVENTS_PER_RECORD
             new_events = events[self.event_count : end]
+            count = count_events_for_record(new_events, self.max_record_bytes)
+            if not count:
+                break
+            new_events = new_events[:count]
             record = encode_progress(self.job, self.item, self.event_count, new_events)
             self.keys.add(record.key)
             records.append(record)
--- a/buckthornstile/jobs/_records.py
+++ b/buckthornstile/jobs/_records.py
@@ -164,8 +164,7 @@
 ) -> list[JobRecord]:
     """Encodes the result of an item."""
     spans = [[span.version, span.events] for span in result.version_spans]
-    data = [result.state.value, result.text, spans, result.score]
-    value = json.dumps(data).encode()
+    value = _encode_json([result.state.value, result.text, spans, result.score])
     prefix = f"{RESULT}/{job}/{result.item}"
     return list(_split(prefix, value, max_record_bytes - MAX_KEY_BYTES))
 
@@ -188,9 +187,32 @@
         first: Number of the first event, counted from 0.
         events: The events, which are consecutive.
     """
-    data = [[event.id, event.data, event.version] for event in events]
     key = f"{PROGRESS}/{job}/{item}/{first}.1"
-    return JobRecord(key, json.dumps(data).encode())
+    return JobRecord(key, b"[" + b",".join(map(_encode_event, events)) + b"]")
+
+
+def count_events_for_record(events: Sequence[StreamEvent], max_bytes: int) -> int:
+    """Returns how many of the first events fit into one progress record.
+
+    Args:
+        events: The events.
+        max_bytes: Maximum size of the record.
+    """
+    size = MAX_KEY_BYTES
+    for count, event in enumerate(events):
+        size += len(_encode_event(event)) + 1
+        if size > max_bytes:
+            return count
+    return len(events)
+
+
+def _encode_event(event: StreamEvent) -> bytes:
+    return _encode_json([event.id, event.data, event.version])
+
+
+def _encode_json(value: object) -> bytes:
+    # Escaped, a character of two bytes would take six. Lone surrogates are kept.
+    return json.dumps(value, ensure_ascii=False).encode(errors="surrogatepass")
 
 
 def decode_progress(value: bytes) -> list[StreamEvent]:
--- a/buckthornstile/jobs/tests/test_progress.py
+++ b/buckthornstile/jobs/tests/test_progress.py
@@ -67,3 +67,20 @@
     assert read_progress(table) == new[:8]
     apply(checkpoint.make_records(new, 8))
     assert read_progress(table) == new
+
+
+def test_records_of_progress_stay_within_the_maximum_size() -> None:
+    events = [StreamEvent(n, "\u00e9" * 500, 1) for n in range(1, 101)]
+    checkpoint = ProgressCheckpoint("j1", "i0", max_record_bytes=20_000)
+    records = checkpoint.make_records(events, 1)
+    assert checkpoint.event_count == 100
+    assert max(len(record.value) for record in records) <= 20_000
+
+
+def test_event_that_fits_no_record_ends_the_stored_progress() -> None:
+    events = [*make_events(3, 1), StreamEvent(4, "x" * 5000, 1), *make_events(9, 1)[4:]]
+    checkpoint = ProgressCheckpoint("j1", "i0", max_record_bytes=2000)
+    (record,) = checkpoint.make_records(events, 1)
+    assert record.key == "p/j1/i0/0.1"
+    assert checkpoint.event_count == 3
+    assert checkpoint.make_records(events, 1) == []
--- a/standins/store/_application.py
+++ b/standins/store/_application.py
@@ -13,6 +13,8 @@
 from standins.store._topics import AppendRejectedError, TopicStore, decode_records
 
 READ_HEADER = struct.Struct(">QQ")
+MAX_RECORD_BYTES = 256 << 10
+MAX_APPEND_BYTES = 2 << 20
 POLL_INTERVAL = 0.01  # seconds between two checks of a long poll
 MAX_POLL_WAIT = 30.0  # seconds
 PAGE_SIZE = 500  # keys
@@ -91,9 +93,14 @@
         topic = self.get_argument("topic")
         partition = self.topics.get(topic, int(self.get_argument("part")))
         expected_offset = self.get_argument("at", None)
+        records = decode_records(self.request.body)
+        if max(map(len, records), default=0) > MAX_RECORD_BYTES:
+            return 413, {"why": "record"}
+        if len(self.request.body) > MAX_APPEND_BYTES:
+            return 413, {"why": "call"}
         try:
             offset = partition.append(
-                decode_records(self.request.body),
+                records,
                 at=(int(expected_offset) if expected_offset is not None else None),
                 producer=self.get_argument("producer", None),
                 epoch=int(self.get_argument("epoch", "0")),
--- a/standins/worker/_application.py
+++ b/standins/worker/_application.py
@@ -33,6 +33,7 @@
         id: Name of the worker, sent as ``Instance-Id``.
         slots: Maximum number of concurrent requests, as reported by the worker.
         events: Number of events in a stream whose request has no prompt.
+        padding: Text at the end of each event of such a stream.
         event_seconds: Seconds before each event of a stream.
         work_seconds: Seconds that a plain request takes.
         versions: Loaded version of each model.
@@ -51,6 +52,7 @@
     slots: int = 8
     events: int = 4
     event_seconds: float = 0.002
+    padding: str = ""
     work_seconds: float = 0.002
     versions: dict[str, int] = field(default_factory=dict)
     load_count: int = 0
@@ -240,7 +242,8 @@
 
     def _make_data(self, prompt: dict[str, Any] | None, number: int) -> str:
         if prompt is None:
-            return f"{self.request.headers.get('Request-Id')}-{number}"
+            request_id = self.request.headers.get("Request-Id")
+            return f"{request_id}-{number}{self.state.padding}"
         return generate_token(prompt["prompt"], prompt.get("seed", 0), number - 1)
 
 
