Delete all records of values that are split, with their job

Seen by the review without a case, by reading. What would have been seen: the store fills, as all but the last record of each split specification and result stay for ever; it refuses all appends at 400 MB. Cause: a job remembered the key of the record that completed a value. Change: it remembers the keys of all chunks of the value. Evidence: the new test of test_table.py failed before.

--- a/buckthornstile/jobs/_records.py
+++ b/buckthornstile/jobs/_records.py
@@ -79,6 +79,20 @@
     return RecordKey(parts[0], JobId(parts[1]), item, int(index), int(count))
 
 
+def list_value_keys(key: str) -> list[str]:
+    """Returns the keys of all chunks of the value to which a key belongs.
+
+    Example:
+        >>> list_value_keys("r/j1/i1/1.2")
+        ['r/j1/i1/0.2', 'r/j1/i1/1.2']
+    """
+    count = parse_key(key).chunk_count
+    if count == 1:
+        return [key]
+    prefix = key.rpartition("/")[0]
+    return [f"{prefix}/{index}.{count}" for index in range(count)]
+
+
 def _split(prefix: str, value: bytes, chunk_bytes: int) -> Iterator[JobRecord]:
     count = max(1, -(-len(value) // chunk_bytes))
     for index in range(count):
--- a/buckthornstile/jobs/_table.py
+++ b/buckthornstile/jobs/_table.py
@@ -16,6 +16,7 @@
     decode_progress,
     decode_result,
     decode_specification,
+    list_value_keys,
     parse_key,
 )
 from buckthornstile.jobs._types import (
@@ -245,7 +246,7 @@
         age = max(0.0, wall_time - specification.submitted_at)
         job = Job(specification, part, now - age)
         job.items = {item.id: item for item in specification.items}
-        job.keys.add(key)
+        job.keys.update(list_value_keys(key))
         self.jobs[parsed.job] = job
         for item in job.items:
             account_item = (specification.account, item)
@@ -266,7 +267,7 @@
         value: bytes,
         now: float,
     ) -> None:
-        job.keys.add(key)
+        job.keys.update(list_value_keys(key))
         if parsed.kind == OWNER:
             claim = decode_claim(value)
             if offset > job.claim_offset:
--- a/buckthornstile/jobs/tests/test_table.py
+++ b/buckthornstile/jobs/tests/test_table.py
@@ -160,3 +160,14 @@
         table.apply(0, 200, key, None, 5.0, wall_time=1000.0)
     assert table.find(JOB) is None
     assert table.find_result(AccountId("mill"), make_specification().items[0]) is None
+
+
+def test_all_keys_of_values_that_are_split_are_deleted_with_their_job() -> None:
+    """Only the last key of each value was deleted; the others stayed for ever."""
+    table = JobTable()
+    records = encode_specification(make_specification(), RECORD_BYTES)
+    records += encode_result(JOB, make_result(0, 2000), RECORD_BYTES)
+    assert len(records) > 4
+    for offset, record in enumerate(records):
+        table.apply(0, offset, record.key, record.value, 5.0, wall_time=1000.0)
+    assert table.find(JOB).keys == {record.key for record in records}
