Keep the results of a job that its client has not ended

Cause: the age alone decided. Change: a job that is not ended is kept for 600 s, a bound for the memory of clients that never end theirs. Evidence: the new test failed before with a lifetime of 150 s. The test of the expiry used a job that was not ended; it ends it now and is as strict, and the new test covers the other case.

--- a/buckthornstile/jobs/_table.py
+++ b/buckthornstile/jobs/_table.py
@@ -29,6 +29,9 @@
 )
 from buckthornstile.messages import StreamEvent
 
+MAX_OPEN_SECONDS = 600.0
+"""Seconds for which a job that its client has not ended is kept; bounds the memory that
+clients who never end their jobs take."""
 EXPIRY_MARGIN_SECONDS = 30.0
 """Seconds for which a job is kept beyond the lifetime promised for its results."""
 
@@ -93,9 +96,11 @@
         """Returns the seconds from submission for which the results stay readable.
 
         Args:
-            minimum: Minimum lifetime in seconds; a longer time limit extends it.
+            minimum: Minimum lifetime in seconds; a longer time limit extends it, and
+                so does a client that has not ended the job.
         """
-        return max(minimum, self.specification.time_limit)
+        lifetime = max(minimum, self.specification.time_limit)
+        return lifetime if self.ended else max(lifetime, MAX_OPEN_SECONDS)
 
     def is_finished(self) -> bool:
         """Whether every item has a result or the job was ended early."""
--- a/buckthornstile/jobs/tests/test_table.py
+++ b/buckthornstile/jobs/tests/test_table.py
@@ -153,6 +153,8 @@
     table = apply_records(make_log([0]))
     job = table.find(JOB)
     assert job is not None
+    record = encode_end(JOB)
+    table.apply(0, 99, record.key, record.value, 5.0, wall_time=1000.0)
     # A job is kept for EXPIRY_MARGIN_SECONDS (30 s) beyond the lifetime of 120 s.
     assert table.list_expired(5.0 + 120.0, 120.0) == []
     assert table.list_expired(5.0 + 151.0, 120.0) == [job]
@@ -162,6 +164,16 @@
     assert table.find_result(AccountId("mill"), make_specification().items[0]) is None
 
 
+def test_job_that_its_client_keeps_open_does_not_expire() -> None:
+    """It was deleted 150 s after its submission, while its client still read it."""
+    table = apply_records(make_log([0]))
+    job = table.find(JOB)
+    assert table.list_expired(5.0 + 151.0, 120.0) == []
+    assert table.list_expired(5.0 + 600.0, 120.0) == []
+    # A client that never ends its job cannot keep it for ever.
+    assert table.list_expired(5.0 + 631.0, 120.0) == [job]
+
+
 def test_all_keys_of_values_that_are_split_are_deleted_with_their_job() -> None:
     """Only the last key of each value was deleted; the others stayed for ever."""
     table = JobTable()
