Complete a resumable stream that breaks off after its last event

Seen by the review without a case, by reading. What callers saw: a broken stream, though they had all its events: the run that was asked for the rest got an empty response, which counted as a failure. Cause: a response without any byte was never complete. Change: it is, for a run that goes on after an event; a first run without any event is still a failure. Evidence: the first new test failed before; the second holds before and after.

--- a/buckthornstile/entry/tests/test_streams.py
+++ b/buckthornstile/entry/tests/test_streams.py
@@ -289,3 +289,32 @@
     response = render_failure(500, b"\xff" * (9 << 20))
     status, _ = await read_failure(deployment, response, resumable=False)
     assert status == 502
+
+
+@with_deployment
+async def test_resumable_stream_that_breaks_after_its_last_event_is_completed(
+    deployment: InProcessDeployment,
+) -> None:
+    """The rest of the stream is empty, and an empty response counted as a failure."""
+    add_route(deployment, resumable=True)
+    for name in ("m1", "m2"):
+        deployment.add_worker(
+            name, MODEL_SERVICE, events=EVENT_COUNT, event_seconds=0.01
+        )
+        deployment.workers[name].faults.add({"kind": "cut_end", "count": 1})
+    await deployment.add_entry("e1")
+    for number in range(4):
+        chunks: list[bytes] = []
+        await read_stream(deployment, f"r{number}", chunks)
+        assert parse_events(chunks) == make_expected_events(f"r{number}")
+
+
+@with_deployment
+async def test_stream_without_any_event_is_not_complete(
+    deployment: InProcessDeployment,
+) -> None:
+    add_route(deployment, resumable=False)
+    deployment.add_worker("m1", MODEL_SERVICE, events=0)
+    await deployment.add_entry("e1")
+    with pytest.raises(BuckthornstileError, match="early"):
+        await read_stream(deployment, "r1", [])
--- a/buckthornstile/gateway/_stream_proxy.py
+++ b/buckthornstile/gateway/_stream_proxy.py
@@ -101,6 +101,7 @@
         self.proxy = proxy
         self.upstream = upstream
         self.permit = permit
+        self.is_resumed = call.last_event_id is not None
         self.head: ResponseHead | None = None
         self.parser: UpstreamEventParser | None = None
         self.events = EventBuffer()
@@ -162,9 +163,11 @@
         """Whether the upstream ended the stream cleanly, between two events."""
         if not self.task.done() or self.task.cancelled() or self.is_malformed:
             return False
-        ends_between_events = (
-            self.parser is not None and self.parser.is_between_events()
-        )
+        if self.parser is None:
+            # The rest of a stream that broke off after its last event is empty.
+            ends_between_events = self.is_resumed
+        else:
+            ends_between_events = self.parser.is_between_events()
         return self.task.exception() is None and ends_between_events
 
     def get_error(self) -> BuckthornstileError | None:
