Never pass an upstream's refusal on for what it may have run

What callers saw: 408, 429 or 503 with an upstream's own words for a request that may not be repeated, although the upstream did not state that it had not run it. Cause: statuses without the statement were taken for failures like any other. Change: for calls and streams that may not be repeated they become 502, which promises nothing, without the upstream's signature. Others are passed on as before.

--- a/buckthornstile/entry/tests/test_calls.py
+++ b/buckthornstile/entry/tests/test_calls.py
@@ -13,6 +13,7 @@
     InProcessDeployment,
     with_deployment,
 )
+from buckthornstile.entry.tests.raw_upstream import RawUpstream
 from buckthornstile.http_client import HTTPRequest
 from buckthornstile.messages import ClientRequest, RoutedCall
 
@@ -271,3 +272,29 @@
     async with asyncio.timeout(3):
         response = await deployment.send_simple_request("e1", "r1")
     assert response.status == 500
+
+
+@pytest.mark.parametrize("status", [408, 429, 503])
+@pytest.mark.parametrize("target", ["/once/1", "/orders/1"])
+def test_refusal_that_does_not_state_that_nothing_ran_is_no_promise(
+    target: str, status: int
+) -> None:
+    """It was passed on, and promised that a request that had run had not run."""
+
+    @with_deployment
+    async def test(deployment: InProcessDeployment) -> None:
+        async def respond(writer: asyncio.StreamWriter, request_id: str) -> None:
+            head = f"HTTP/1.1 {status} Busy\r\nServer-Stamp: s1\r\n"
+            writer.write(f"{head}Content-Length: 4\r\n\r\nbusy".encode())
+            await writer.drain()
+
+        await RawUpstream(deployment, respond).start("w1", PLAIN_SERVICE)
+        await deployment.add_entry("e1")
+        response = await deployment.send_simple_request("e1", "r1", target=target)
+        if target == "/orders/1":
+            assert (response.status, bytes(response.body)) == (status, b"busy")
+        else:
+            assert response.status == 502
+            assert "Server-Stamp" not in response.headers
+
+    test()
--- a/buckthornstile/entry/tests/test_streams.py
+++ b/buckthornstile/entry/tests/test_streams.py
@@ -318,3 +318,16 @@
     await deployment.add_entry("e1")
     with pytest.raises(BuckthornstileError, match="early"):
         await read_stream(deployment, "r1", [])
+
+
+@pytest.mark.parametrize("resumable", [False, True], ids=["once", "resumable"])
+def test_refused_stream_that_may_have_run_is_not_said_not_to_have(
+    resumable: bool,
+) -> None:
+    @with_deployment
+    async def test(deployment: InProcessDeployment) -> None:
+        response = render_failure(503, b"busy")
+        status, _ = await read_failure(deployment, response, resumable=resumable)
+        assert status == (503 if resumable else 502)
+
+    test()
--- a/buckthornstile/gateway/_call_sender.py
+++ b/buckthornstile/gateway/_call_sender.py
@@ -36,6 +36,9 @@
 """Number of attempts that did not run the request, after which it is not retried."""
 REFUSAL_PAUSE = 0.05
 """Seconds for which an upstream that had no free slot is avoided."""
+NOT_RUN_STATUSES = frozenset({408, 429, 503})
+"""Statuses that promise clients that a request has not run. An upstream's response with
+one of them, but without the statement that it has not run it, is no such promise."""
 FIRST_SERVER_ERROR_STATUS = 500
 """HTTP status from which a response to an idempotent request leads to a retry."""
 
@@ -303,7 +306,12 @@
             return None
         self.may_have_run = True
         self.sender.crash_detector.record_response(self.call)
-        if head.has_content_encoding or (head.status < 300 and not head.signature):
+        is_false_promise = not self.is_idempotent and head.status in NOT_RUN_STATUSES
+        if (
+            is_false_promise
+            or head.has_content_encoding
+            or (head.status < 300 and not head.signature)
+        ):
             balancer.record_failure(attempt.upstream)
             return None
         if head.status >= FIRST_SERVER_ERROR_STATUS and self.is_idempotent:
--- a/buckthornstile/gateway/_stream_proxy.py
+++ b/buckthornstile/gateway/_stream_proxy.py
@@ -12,6 +12,7 @@
 )
 from buckthornstile.gateway._call_sender import (
     MAX_REFUSALS,
+    NOT_RUN_STATUSES,
     REFUSAL_PAUSE,
     CallSender,
     is_stale_configuration_error,
@@ -359,6 +360,11 @@
             raise self._make_error(
                 ErrorCode.DEADLINE_PASSED, "no complete response before the deadline"
             )
+        if not self.route.is_resumable and head.status in NOT_RUN_STATUSES:
+            raise self._make_error(
+                ErrorCode.UPSTREAM_FAILED,
+                f"the upstream refused with {head.status} what it may have run",
+            )
         return Response(head.status, body, head.headers)
 
     async def _record_failure(self, run: _Run) -> None:
