Load jobs past odd records of their topic

Found by trying odd records in each key of the topic. Cause: three kinds of errors were expected where a decoder can raise others, and a chunk without events never ended the search for the next one.

--- a/buckthornstile/gateway/_job_store.py
+++ b/buckthornstile/gateway/_job_store.py
@@ -284,8 +284,9 @@
                     self.clock(),
                     wall_time=self.wall_clock(),
                 )
-            except (ValueError, KeyError, TypeError) as error:
-                log_event("job.record_unreadable", key=record.key, reason=error)
+            except Exception as error:
+                # In a snapshot, it would keep all jobs from being loaded.
+                log_event("job.record_unreadable", key=record.key, reason=repr(error))
 
         def apply_snapshot(records: list[KeyedRecord]) -> None:
             for record in sorted(records, key=lambda record: record.offset):
--- a/buckthornstile/jobs/_table.py
+++ b/buckthornstile/jobs/_table.py
@@ -88,8 +88,8 @@
         """Returns the stored events of an item up to the first missing one."""
         chunks = self.progress.get(item, {})
         events: list[StreamEvent] = []
-        while len(events) in chunks:
-            events += chunks[len(events)]
+        while chunk := chunks.get(len(events)):
+            events += chunk
         return events
 
     def get_lifetime(self, minimum: float) -> float:
