--- a/buckthornstile/entry/tests/test_odd_job_records.py
+++ b/buckthornstile/entry/tests/test_odd_records.py
@@ -1,4 +1,4 @@
-"""Odd records in the topic of batch jobs hurt no other job."""
+"""Odd records in the topics of the store hurt nothing else."""
 
 import json
 import zlib
@@ -84,3 +84,41 @@
         await run_job(deployment, "j5", "d")
 
     test()
+
+
+TOPICS = ["presence", "duties", "keyed.crashes", "keyed.op", "keyed.servers"]
+ODD_KEYS = ["", "x", "config", "version/llm", "evacuate/", "a/b", "w1/x/y", "\x00"]
+
+
+@pytest.mark.parametrize("topic", TOPICS)
+def test_odd_records_of_other_topics_hurt_nothing(topic: str) -> None:
+    @with_deployment
+    async def test(deployment: InProcessDeployment) -> None:
+        def put_records() -> None:
+            partition = deployment.topic_store.get(topic, 0)
+            for value in VALUES.values():
+                if topic.startswith("keyed."):
+                    records = [encode_keyed_record(key, value) for key in ODD_KEYS]
+                else:
+                    records = [value]
+                partition.append(records)
+
+        deployment.add_worker("w1", PLAIN_SERVICE)
+        deployment.add_worker("m1", MODEL_SERVICE)
+        put_records()
+        deployment.put_configuration()
+        entry = await deployment.add_entry("e1")
+        await run_job(deployment, "j2", "a")
+        put_records()
+        deployment.put_configuration()
+        await run_job(deployment, "j3", "b")
+        lease = entry.lease_holder_tasks.lease_manager.lease
+        await deployment.wait_for(lease.is_held)
+        for partition in deployment.topic_store.partitions.values():
+            partition.drop_history()
+        await deployment.kill_entry("e1")
+        deployment.put_configuration()
+        await deployment.add_entry("e1")
+        await run_job(deployment, "j4", "c")
+
+    test()
