--- a/standins/worker/__main__.py
+++ b/standins/worker/__main__.py
@@ -1,7 +1,8 @@
 """Starts a worker's stand-in: ``python -m standins.worker``.
 
-The worker registers itself in the store. After SIGTERM it registers as draining,
-serves requests for another ``--drain-seconds``, removes its registration and exits.
+The worker registers itself in the store. After SIGTERM it states in its responses that
+it leaves and registers as draining. It serves requests for another
+``--drain-seconds``, removes its registration and exits.
 """
 
 import asyncio
@@ -67,7 +68,7 @@
     print(json.dumps({"ready": True, "port": port}), flush=True)
     heartbeat_task = asyncio.create_task(registration.run())
     await stop_requested.wait()
-    registration.is_draining = True
+    registration.is_draining = state.is_leaving = True
     await registration.register()
     await asyncio.sleep(flags.drain_seconds)
     heartbeat_task.cancel()
