--- a/buckthornstile/platform/tests/test_store.py
+++ b/buckthornstile/platform/tests/test_store.py
@@ -57,6 +57,8 @@
     size = 8 << 20
 
     async def test(store: StoreClient, application: Any) -> None:
+        application.log.max_record_bytes = size
+        application.log.max_append_bytes = 2 * size
         reader = StoreClient(store.address, max_record_bytes=size)
         await store.append("t", 0, [b"x" * size], timeout=5.0)
         assert (await reader.read("t", 0, 0, timeout=5.0)).records == (
--- a/standins/store/_application.py
+++ b/standins/store/_application.py
@@ -13,8 +13,6 @@
 from standins.store._topics import AppendRejectedError, TopicStore, decode_records
 
 READ_HEADER = struct.Struct(">QQ")
-MAX_RECORD_BYTES = 256 << 10
-MAX_APPEND_BYTES = 2 << 20
 POLL_INTERVAL = 0.01  # seconds between two checks of a long poll
 MAX_POLL_WAIT = 30.0  # seconds
 PAGE_SIZE = 500  # keys
@@ -94,9 +92,9 @@
         partition = self.topics.get(topic, int(self.get_argument("part")))
         expected_offset = self.get_argument("at", None)
         records = decode_records(self.request.body)
-        if max(map(len, records), default=0) > MAX_RECORD_BYTES:
+        if max(map(len, records), default=0) > self.topics.max_record_bytes:
             return 413, {"why": "record"}
-        if len(self.request.body) > MAX_APPEND_BYTES:
+        if len(self.request.body) > self.topics.max_append_bytes:
             return 413, {"why": "call"}
         try:
             offset = partition.append(
--- a/standins/store/_topics.py
+++ b/standins/store/_topics.py
@@ -159,10 +159,20 @@
 
     Args:
         retention: Seconds after which records are removed.
+        max_record_bytes: Size above which a record is refused.
+        max_append_bytes: Size above which an append is refused.
     """
 
-    def __init__(self, *, retention: float = 20.0) -> None:
+    def __init__(
+        self,
+        *,
+        retention: float = 20.0,
+        max_record_bytes: int = 256 << 10,
+        max_append_bytes: int = 2 << 20,
+    ) -> None:
         self.retention = retention
+        self.max_record_bytes = max_record_bytes
+        self.max_append_bytes = max_append_bytes
         self.partitions: dict[tuple[str, int], Partition] = {}
 
     def get(self, topic: str, partition_index: int) -> Partition:
