--- a/buckthornstile/gateway/__init__.py
+++ b/buckthornstile/gateway/__init__.py
@@ -9,8 +9,8 @@
     HandlerDependencies,
     make_error_response,
 )
-from buckthornstile.gateway._item_execution import JobDependencies
 from buckthornstile.gateway._item_runner import ItemRunner
+from buckthornstile.gateway._job_context import JobDependencies
 from buckthornstile.gateway._job_manager import JobManager
 from buckthornstile.gateway._job_store import JobStore
 from buckthornstile.gateway._lease_holder_tasks import LeaseHolderTasks
--- a/buckthornstile/gateway/_item_execution.py
+++ b/buckthornstile/gateway/_item_execution.py
@@ -1,28 +1,22 @@
 """Runs one item of a batch job at upstreams until it is complete, then scores it."""
 
 import asyncio
-from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from buckthornstile.base import BuckthornstileError, UpstreamId
-from buckthornstile.gateway._call_sender import CallSender
-from buckthornstile.gateway._item_runner import ItemProgress, ItemRunner, RunOutcome
-from buckthornstile.gateway._job_store import JobStore
-from buckthornstile.gateway._load_balancer import LoadBalancer
-from buckthornstile.gateway._metrics import GatewayMetrics
+from buckthornstile.base import UpstreamId
+from buckthornstile.gateway._item_runner import ItemProgress, RunOutcome
+from buckthornstile.gateway._item_scores import find_score
+from buckthornstile.gateway._job_context import JobContext
 from buckthornstile.gateway._upstream_stats import Permit
 from buckthornstile.jobs import (
     ItemResult,
-    Job,
     JobItem,
     ProgressCheckpoint,
     ResultState,
-    ScoreCall,
     choose_progress,
 )
 from buckthornstile.logs import log_event
-from buckthornstile.messages import ClientRequest, RoutedCall
-from buckthornstile.topology import API_HOST, Route, TopologyView, Upstream
+from buckthornstile.topology import API_HOST, Route, Upstream
 
 FAILURE_RETRY_DELAY = 0.05
 """Seconds before an item is run again after a failed run."""
@@ -33,14 +27,6 @@
 """
 MAX_REFUSAL_RETRY_DELAY = 0.2
 """Maximum delay after a refusal, in seconds."""
-SCORE_TIMEOUT = 2.0
-"""Seconds until the deadline of one request that scores an item."""
-SCORE_RETRY_DELAY = 0.1
-"""Seconds before a failed scoring request is retried."""
-ABANDON_MARGIN = 0.5
-"""Seconds after a job's time limit or retention at which its items are abandoned."""
-NO_ROUTE_RETRY_DELAY = 0.1
-"""Seconds before a missing scoring route is looked up again."""
 MAX_VERSION_WAIT = 0.5
 """Seconds for which an item waits for an upstream that holds the version of its events,
 while others could run it from the start."""
@@ -52,53 +38,6 @@
 """Maximum number of upstreams that an item avoids at a time: the latest ones."""
 
 
-@dataclass(frozen=True, slots=True)
-class JobDependencies:
-    """Dependencies that the runners of all jobs share."""
-
-    view: TopologyView
-    balancer: LoadBalancer
-    item_runner: ItemRunner
-    sender: CallSender
-    store: JobStore
-    metrics: GatewayMetrics
-    clock: Callable[[], float]
-
-
-@dataclass(slots=True)
-class JobContext:
-    """A job and the last known configuration of its route.
-
-    The route may be removed from the configuration while the job runs.
-    """
-
-    job: Job
-    dependencies: JobDependencies
-    last_route: Route | None = None
-
-    def find_route(self) -> Route | None:
-        """Returns the job's route in the configuration in effect, or None."""
-        specification = self.job.specification
-        route = self.dependencies.view.find_route(
-            specification.host, specification.path_prefix
-        )
-        if route is not None:
-            self.last_route = route
-        return route
-
-    def is_expired(self) -> bool:
-        """Whether the job has ended, or its time limit or retention has passed."""
-        if self.job.ended:
-            return True
-        retention = self.job.specification.time_limit
-        if not retention and self.last_route is not None:
-            retention = self.last_route.retention
-        if not retention:
-            return False
-        age = self.dependencies.clock() - self.job.started_at
-        return age > retention + ABANDON_MARGIN
-
-
 @dataclass(slots=True)
 class ItemExecution:
     """The execution of one item: its progress, failures and past runs.
@@ -270,11 +209,11 @@
         )
 
     def discard_unusable_progress(self, route: Route) -> None:
-        """Discards the events of the item if their version is not to be had in time.
+        """Discards the events of the item if no upstream can go on from them soon.
 
         Where a single version is required, only upstreams that hold the version of
-        the events can go on from them. The events are kept as long as no other
-        upstream could run the item from the start.
+        the events can. The events are kept as long as no other upstream could run the
+        item from the start.
         """
         if not route.requires_single_version or not self.progress.events:
             return
@@ -370,7 +309,7 @@
         score = ""
         call = self.item.score_call
         if call is not None:
-            found_score = await self._find_score(call)
+            found_score = await find_score(self.context, self.item.id, call)
             if found_score is None:
                 return self._abandon("score")
             score = found_score
@@ -399,57 +338,3 @@
             self.progress.list_version_spans(),
             score,
         )
-
-    async def _find_score(self, call: ScoreCall) -> str | None:
-        """Returns the score of the item, or None if it could not be scored."""
-        view = self.context.dependencies.view
-        failures = 0
-        while not self.context.is_expired():
-            route = view.find_route(call.host, call.path)
-            if route is None or not route.services:
-                await asyncio.sleep(NO_ROUTE_RETRY_DELAY)
-                continue
-            signature, new_failures = await self._score_once(call, route)
-            if signature:
-                return signature
-            failures += new_failures
-            job_route = self.context.last_route
-            job_max_attempts = job_route.max_attempts if job_route else 1
-            if failures >= max(route.max_attempts, job_max_attempts):
-                return None
-            await asyncio.sleep(SCORE_RETRY_DELAY)
-        return None
-
-    async def _score_once(self, call: ScoreCall, route: Route) -> tuple[str, int]:
-        """Sends a scoring request once.
-
-        Returns:
-            The signature of the response, which is the score, or "" without one; and
-            the number of failures to count, 0 or 1.
-        """
-        path, _, query = call.path.partition("?")
-        request = ClientRequest(
-            id=call.id,
-            method="POST",
-            host=call.host,
-            path=path,
-            query=query,
-            headers=(),
-            body=call.body,
-        )
-        deadline = asyncio.get_running_loop().time() + SCORE_TIMEOUT
-        routed_call = RoutedCall(request, route, None, deadline, is_item_call=True)
-        try:
-            response = await self.context.dependencies.sender.send(routed_call)
-        except BuckthornstileError as error:
-            log_event(
-                "item.score_retry",
-                job=self.context.job.id,
-                item=self.item.id,
-                request=call.id,
-                reason=error.message,
-            )
-            return "", 0
-        if 200 <= response.head.status < 300:
-            return response.head.signature, 0
-        return "", int(response.head.status == 500)
--- /dev/null
+++ b/buckthornstile/gateway/_job_context.py
@@ -0,0 +1,62 @@
+"""What the runners of jobs share, and the job that an item belongs to."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from buckthornstile.gateway._call_sender import CallSender
+from buckthornstile.gateway._item_runner import ItemRunner
+from buckthornstile.gateway._job_store import JobStore
+from buckthornstile.gateway._load_balancer import LoadBalancer
+from buckthornstile.gateway._metrics import GatewayMetrics
+from buckthornstile.jobs import Job
+from buckthornstile.topology import Route, TopologyView
+
+ABANDON_MARGIN = 0.5
+"""Seconds after a job's time limit or retention at which its items are abandoned."""
+
+
+@dataclass(frozen=True, slots=True)
+class JobDependencies:
+    """Dependencies that the runners of all jobs share."""
+
+    view: TopologyView
+    balancer: LoadBalancer
+    item_runner: ItemRunner
+    sender: CallSender
+    store: JobStore
+    metrics: GatewayMetrics
+    clock: Callable[[], float]
+
+
+@dataclass(slots=True)
+class JobContext:
+    """A job and the last known configuration of its route.
+
+    The route may be removed from the configuration while the job runs.
+    """
+
+    job: Job
+    dependencies: JobDependencies
+    last_route: Route | None = None
+
+    def find_route(self) -> Route | None:
+        """Returns the job's route in the configuration in effect, or None."""
+        specification = self.job.specification
+        route = self.dependencies.view.find_route(
+            specification.host, specification.path_prefix
+        )
+        if route is not None:
+            self.last_route = route
+        return route
+
+    def is_expired(self) -> bool:
+        """Whether the job has ended, or its time limit or retention has passed."""
+        if self.job.ended:
+            return True
+        retention = self.job.specification.time_limit
+        if not retention and self.last_route is not None:
+            retention = self.last_route.retention
+        if not retention:
+            return False
+        age = self.dependencies.clock() - self.job.started_at
+        return age > retention + ABANDON_MARGIN
--- a/buckthornstile/gateway/_job_manager.py
+++ b/buckthornstile/gateway/_job_manager.py
@@ -9,7 +9,7 @@
     ProcessName,
     ServiceName,
 )
-from buckthornstile.gateway._item_execution import JobDependencies
+from buckthornstile.gateway._job_context import JobDependencies
 from buckthornstile.gateway._job_runner import JobRunner
 from buckthornstile.gateway._partition_assignment import PartitionAssignment
 from buckthornstile.gateway._presence import PresenceTable
--- a/buckthornstile/gateway/_job_runner.py
+++ b/buckthornstile/gateway/_job_runner.py
@@ -5,11 +5,8 @@
 from collections.abc import Callable, Iterable, Iterator, Sequence
 
 from buckthornstile.base import PlatformUnavailableError, ServiceName, UpstreamId
-from buckthornstile.gateway._item_execution import (
-    ItemExecution,
-    JobContext,
-    JobDependencies,
-)
+from buckthornstile.gateway._item_execution import ItemExecution
+from buckthornstile.gateway._job_context import JobContext, JobDependencies
 from buckthornstile.gateway._upstream_stats import Permit
 from buckthornstile.jobs import (
     ItemResult,
--- /dev/null
+++ b/buckthornstile/gateway/_stream_run.py
@@ -0,0 +1,199 @@
+"""Runs a streaming request at one upstream and buffers its events."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from buckthornstile.base import BuckthornstileError, ErrorCode, Verdict
+from buckthornstile.gateway._event_buffer import EncodedEvent, EventBuffer
+from buckthornstile.gateway._load_balancer import LoadBalancer
+from buckthornstile.gateway._upstream_stats import Permit
+from buckthornstile.http_client import ConnectionPool, HTTPResponse
+from buckthornstile.messages import ResponseHead, UpstreamCall
+from buckthornstile.platform import (
+    UpstreamEventParser,
+    decode_response_head,
+    encode_upstream_call,
+)
+from buckthornstile.topology import Upstream
+
+STREAM_STATUS = 200
+"""Status of a response that is a stream; all others are failures."""
+
+
+class StreamRun:
+    """One attempt to run a streaming request at one upstream.
+
+    Args:
+        pool: Connections to the upstreams.
+        balancer: Records what the upstream states about itself.
+        upstream: The upstream.
+        call: The request as it is sent to it.
+        permit: The permit of this run; released when the run has ended.
+        before_send: Called just before the request is written; raises if it must no
+            longer be sent.
+
+    Attributes:
+        head: The response's head, or None before it has arrived.
+        events: Events received but not yet proxied, each with its encoded block.
+        failure_body: Body of a response that is a failure and so no stream.
+        head_or_end: Set once the head has arrived or the run has ended.
+        is_malformed: Whether the upstream sent data that is not a valid stream.
+        task: Sends the request and receives the response.
+    """
+
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        balancer: LoadBalancer,
+        upstream: Upstream,
+        call: UpstreamCall,
+        permit: Permit,
+        before_send: Callable[[], None] | None,
+    ) -> None:
+        self.pool = pool
+        self.balancer = balancer
+        self.upstream = upstream
+        self.permit = permit
+        self.is_resumed = call.last_event_id is not None
+        self.head: ResponseHead | None = None
+        self.parser: UpstreamEventParser | None = None
+        self.events = EventBuffer()
+        self.failure_body = bytearray()
+        self.abort_reason = ""
+        self.head_or_end = asyncio.Event()
+        self.is_malformed = False
+        self.task = asyncio.create_task(
+            pool.send(
+                upstream.address,
+                encode_upstream_call(call),
+                on_headers=self._on_headers,
+                on_data=self._on_data,
+                new_connection=True,
+                before_send=before_send,
+            )
+        )
+        self.task.add_done_callback(self._on_done)
+
+    async def wait_for_head(self, deadline: float) -> ResponseHead | None:
+        """Returns the head, or None if the run ended or the deadline passed first.
+
+        Args:
+            deadline: Deadline in the event loop's time, in seconds.
+        """
+        try:
+            async with asyncio.timeout_at(deadline):
+                await self.head_or_end.wait()
+        except TimeoutError:
+            return None
+        return self.head
+
+    async def next_event(self, deadline: float) -> EncodedEvent | None:
+        """Returns the next event, or None if the stream ended or the deadline passed.
+
+        Args:
+            deadline: Deadline in the event loop's time, in seconds.
+
+        Returns:
+            The event with the block of bytes that encodes it, or None.
+        """
+        if self.events.is_empty() and self.task.done():
+            return None
+        get_task = asyncio.create_task(self.events.get())
+        remaining = max(0.0, deadline - asyncio.get_running_loop().time())
+        try:
+            await asyncio.wait(
+                {get_task, self.task},
+                timeout=remaining,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if get_task.done():
+                return get_task.result()
+        finally:
+            get_task.cancel()
+        return self.events.get_nowait() if not self.events.is_empty() else None
+
+    def is_complete(self) -> bool:
+        """Whether the upstream ended the stream cleanly, between two events."""
+        if not self.task.done() or self.task.cancelled() or self.is_malformed:
+            return False
+        if self.parser is None:
+            # The rest of a stream that broke off after its last event is empty.
+            ends_between_events = self.is_resumed
+        else:
+            ends_between_events = self.parser.is_between_events()
+        return self.task.exception() is None and ends_between_events
+
+    def get_error(self) -> BuckthornstileError | None:
+        """Returns the error with which the run ended, or None."""
+        if not self.task.done() or self.task.cancelled():
+            return None
+        error = self.task.exception()
+        if error is None or isinstance(error, BuckthornstileError):
+            return error
+        raise error
+
+    async def read_failure(self, deadline: float) -> bytes | None:
+        """Returns the body of a failure, or None if the deadline passed first.
+
+        Args:
+            deadline: Deadline in the event loop's time, in seconds.
+
+        Raises:
+            BuckthornstileError: The body is incomplete or too large.
+        """
+        remaining = max(0.0, deadline - asyncio.get_running_loop().time())
+        # Awaiting the task itself would pass its cancellation on to the caller.
+        done, _ = await asyncio.wait({self.task}, timeout=remaining)
+        if not done:
+            return None
+        if self.task.cancelled():
+            raise BuckthornstileError(
+                ErrorCode.ANSWER_TOO_LARGE,
+                self.abort_reason,
+                verdict=Verdict.MAY_HAVE_RUN,
+            )
+        self.task.result()
+        return bytes(self.failure_body)
+
+    async def cancel(self) -> None:
+        """Closes the upstream's connection if the run has not ended."""
+        self.task.cancel()
+        await asyncio.wait({self.task})
+
+    def _on_headers(self, response: HTTPResponse) -> None:
+        self.head = decode_response_head(response)
+        self.balancer.record_head(self.upstream, self.head, self.permit)
+        self.head_or_end.set()
+
+    def _on_data(self, chunk: bytes) -> Awaitable[None] | None:
+        if self.head is None or self.is_malformed or self.abort_reason:
+            return None
+        if self.head.status != STREAM_STATUS:
+            self.failure_body += chunk
+            self.pool.limit.grow(self, len(chunk))
+            return None
+        if self.parser is None:
+            self.parser = UpstreamEventParser(self.head.version or 0)
+        try:
+            events = self.parser.feed(chunk)
+        except ValueError:
+            self.is_malformed = True
+            # Otherwise the rest of the response, perhaps without end, would be read.
+            self.task.cancel()
+            return None
+        return self._enqueue(events) if events else None
+
+    async def _enqueue(self, events: list[EncodedEvent]) -> None:
+        for event in events:
+            await self.events.put(event)
+
+    def abort(self, reason: str) -> None:
+        """Discards the body of a failure that is too large."""
+        self.abort_reason = reason
+        self.failure_body.clear()
+        self.task.cancel()
+
+    def _on_done(self, _: object) -> None:
+        self.pool.limit.release(self)
+        self.permit.release()
+        self.head_or_end.set()
