Do not count a copy at an engine with a rate limit as sufficient

Change: while some engines have stated no limit, the copy must be at one of these, and one of these loads it. If all are limited, nothing changes, as a load would not help.

--- a/buckthornstile/duties/_model_loads.py
+++ b/buckthornstile/duties/_model_loads.py
@@ -1,7 +1,7 @@
 """Plans which engine loads which target version of a model, and when."""
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 
 from buckthornstile.base import ServiceName, UpstreamId
@@ -90,6 +90,8 @@
         view: The topology in effect.
         clock: Returns the monotonic time in seconds.
         is_ejected: Returns whether an upstream is ejected because it failed recently.
+        is_limited: Returns whether an upstream has stated a rate limit, so that it
+            cannot serve a step alone.
     """
 
     def __init__(
@@ -98,10 +100,12 @@
         *,
         clock: Callable[[], float],
         is_ejected: Callable[[Upstream], bool],
+        is_limited: Callable[[Upstream], bool] = lambda upstream: False,
     ) -> None:
         self.view = view
         self.clock = clock
         self.is_ejected = is_ejected
+        self.is_limited = is_limited
         self._engines: dict[UpstreamId, _Engine] = {}
         self._credit: dict[ModelName, float] = {}
         self._credited_versions: dict[ModelName, int] = {}
@@ -240,9 +244,15 @@
             replicas = self._choose_replicas(
                 model, target_version, engines, replica_count, replica_counts
             )
-            is_available = self._is_version_available(model, target_version, engines)
+            usable = self._list_usable(engines)
+            is_missing = not any(
+                engine.versions.get(model, 0) >= target_version
+                or engine.ordered_model == model
+                for _, engine in usable
+            )
+            needed_at = {upstream.id for upstream, _ in usable} if is_missing else set()
             candidates += self._list_candidates(
-                model, target_version, replicas, is_available, now
+                model, target_version, replicas, needed_at, now
             )
         return self._select_loads(candidates, free_slots, now)
 
@@ -298,31 +308,31 @@
             replica_counts[upstream.id] = replica_counts.get(upstream.id, 0) + 1
         return replicas
 
-    def _is_version_available(
-        self,
-        model: ModelName,
-        version: int,
-        engines: list[tuple[Upstream, _Engine]],
-    ) -> bool:
-        """Whether an engine that can be used holds a version or may be loading it."""
-        return any(
-            engine.versions.get(model, 0) >= version or engine.ordered_model == model
-            for upstream, engine in engines
-            if not self.is_ejected(upstream)
-        )
+    def _list_usable(
+        self, engines: list[tuple[Upstream, _Engine]]
+    ) -> list[tuple[Upstream, _Engine]]:
+        """Lists the engines of which one alone can serve a step.
+
+        If all have stated a rate limit, no load would help, so they all count.
+        """
+        connected = [entry for entry in engines if not self.is_ejected(entry[0])]
+        unlimited = [entry for entry in connected if not self.is_limited(entry[0])]
+        return unlimited or connected
 
     def _list_candidates(
         self,
         model: ModelName,
         target_version: int,
         replicas: list[tuple[Upstream, _Engine]],
-        is_target_available: bool,
+        needed_at: Collection[UpstreamId],
         now: float,
     ) -> list["_LoadCandidate"]:
         """Lists the loads that a model could use now.
 
         Loads of the model that the fewest engines can serve get the lowest rank;
-        loads that depend on the model's credit get the highest rank.
+        loads that depend on the model's credit get the highest rank. ``needed_at``
+        are the engines of which one must load, as none that can be used holds the
+        target version.
         """
         lagging = [
             (target_version - engine.versions.get(model, 0), upstream, engine)
@@ -336,7 +346,7 @@
             if lag <= 0 or engine.is_loading(now) or self.is_ejected(upstream):
                 continue
             load = PlannedModelLoad(upstream.id, model, target_version)
-            is_needed = not is_target_available and not candidates
+            is_needed = upstream.id in needed_at and not candidates
             if lag > MAX_VERSION_LAG or is_needed:
                 candidates.append(
                     _LoadCandidate(load, engine, (ready_count + len(candidates), -lag))
--- a/buckthornstile/duties/tests/test_model_loads.py
+++ b/buckthornstile/duties/tests/test_model_loads.py
@@ -24,10 +24,12 @@
             f"e{number}": dict.fromkeys(self.models, 1) for number in range(engines)
         }
         self.ejected: set[str] = set()
+        self.limited: set[str] = set()
         self.planner = ModelLoadPlanner(
             self.view,
             clock=lambda: self.now,
             is_ejected=lambda upstream: upstream.id in self.ejected,
+            is_limited=lambda upstream: upstream.id in self.limited,
         )
         self.loads: list[tuple[float, PlannedModelLoad]] = []
         self.order_counts = dict.fromkeys(self.versions, 0)
@@ -236,3 +238,31 @@
     for _ in range(9):
         orders += len(simulation.step())
     assert orders == 1
+
+
+def test_only_copy_at_an_engine_with_a_rate_limit_is_replaced_once() -> None:
+    simulation = Simulation(engines=4, models=3)
+    simulation.set_target_version("m0", 2)
+    simulation.run(7.0)
+    simulation.limited = {load.upstream for _, load in simulation.loads}
+    simulation.run(4.0)
+    assert count_holders(simulation, "m0", 2) == 2
+    assert len(simulation.loads) == 2
+
+
+def test_limits_of_all_engines_cause_no_further_loads() -> None:
+    simulation = Simulation(engines=4, models=3)
+    simulation.set_target_version("m0", 2)
+    simulation.run(7.0)
+    simulation.limited = set(simulation.versions)
+    simulation.run(4.0)
+    assert len(simulation.loads) == 1
+
+
+def test_missing_copy_is_loaded_by_an_engine_without_a_rate_limit() -> None:
+    simulation = Simulation(engines=4, models=3)
+    simulation.limited = {"e0", "e1", "e2"}
+    simulation.set_target_version("m0", 2)
+    simulation.run(7.0)
+    assert simulation.versions["e3"]["m0"] == 2
+    assert len(simulation.loads) <= 2
--- a/buckthornstile/entry/_components.py
+++ b/buckthornstile/entry/_components.py
@@ -187,7 +187,10 @@
         lease_manager,
         view=view,
         planner=ModelLoadPlanner(
-            view, clock=resources.clock, is_ejected=balancer.is_ejected
+            view,
+            clock=resources.clock,
+            is_ejected=balancer.is_ejected,
+            is_limited=balancer.rate_limits.is_limited,
         ),
         clock=resources.clock,
         pool=resources.pool,
