Let a stand-in worker that exits break off its responses

So it is the stand-in that was wrong; the users' workers break off. Change: a cancelled handler drops its connection.

--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -5,7 +5,9 @@
 from soak import make_plan, run_seed_plan
 
 SHORT_SEED = 20261204
-REGRESSION_SEEDS: dict[int, str] = {}
+REGRESSION_SEEDS: dict[int, str] = {
+    957090290: "the stand-in worker ended its open streams as complete when it exited",
+}
 """Seeds that have failed before, each with its cause."""
 
 
--- a/standins/worker/_application.py
+++ b/standins/worker/_application.py
@@ -167,6 +167,10 @@
             else:
                 await self._send_response()
                 entry["finished"] = True
+        except asyncio.CancelledError:
+            # As the process ends, Tornado would end the response as if it were whole.
+            drop_connection(self)
+            raise
         finally:
             self.state.running -= 1
 
