Check an upstream's own failure by its body instead of an error code

Cause: the check was wrong. The stand-in's fault "error" answers 500, which is passed on unchanged to callers of what may run once; it is a response and has no code of ours. Change: such a response must be the stand-in's, status and whole body, and the order must have run exactly once, which was checked for 200 only. Errors need a code and a verdict as before.

--- a/tests/invariants.py
+++ b/tests/invariants.py
@@ -13,9 +13,10 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from standins.worker import generate_tokens
+from standins.worker import ERROR_BODY, generate_tokens
 
 STATUS_OK = 200
+STATUS_FAILED = 500
 
 
 @dataclass(slots=True)
@@ -137,8 +138,8 @@
 def check_at_most_once(observations: Observations) -> None:
     """Checks that each order ran at most once and that all verdicts are correct.
 
-    The verdict ``not_run`` means that the call never ran. An order whose response has
-    status 200 ran once, which can't be checked if a journal was lost. The verdict
+    The verdict ``not_run`` means that the call never ran. An order with a response of
+    its upstream ran once, which can't be checked if a journal was lost. The verdict
     ``may_have_run`` is correct in either case.
     """
     runs = count_runs_by_name(observations)
@@ -150,7 +151,7 @@
             assert runs[call.name] == 0, (
                 f"{call.name} ran, but failed as not run with {call.error_code}"
             )
-        if call.kind == "order" and call.status == STATUS_OK:
+        if call.kind == "order" and call.status:
             has_run_or_lost_journal = runs[call.name] == 1 or bool(
                 observations.lost_journals
             )
@@ -158,10 +159,17 @@
 
 
 def check_responses(observations: Observations) -> None:
-    """Checks that each 200 response matches its request and each error has a code."""
+    """Checks that each response is its upstream's and each error has a code.
+
+    A 200 response must match its request. Other statuses without an error are an
+    upstream's own failure, which must be passed on with its body.
+    """
     for call in observations.calls:
         if call.status == STATUS_OK:
             _check_response(call)
+        elif call.status:
+            failure = (call.status, bytes(call.response))
+            assert failure == (STATUS_FAILED, ERROR_BODY), f"{call.name}: {failure}"
         elif call.finished_at:
             assert call.error_code and call.verdict, (
                 f"{call.name}: error without a code or verdict"
