--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -7,7 +7,7 @@
 SHORT_SEED = 20261204
 REGRESSION_SEEDS: dict[int, str] = {
     957090290: "the stand-in worker ended its open streams as complete when it exited",
-    957090299: "the check demanded a code of an upstream's own failure, passed on whole",
+    957090299: "the check demanded an error code of an upstream's own failure",
 }
 """Seeds that have failed before, each with its cause."""
 
