Seal no usage window whose seal the store may have dropped

Cause: the seals are in a topic without keys. A lease holder that starts after the store dropped its history knows no seal of earlier windows, and a part of their counts. Change: windows that ended before records were dropped unread are sealed only if a new seal read later precedes theirs; a process that holds the lease at that moment knows all seals and skips none.

--- a/buckthornstile/consumers/_partition_consumer.py
+++ b/buckthornstile/consumers/_partition_consumer.py
@@ -52,6 +52,7 @@
         on_raw_record: Called with offset and bytes of each record of a topic without
             keys.
         on_caught_up: Called after each read that reached the partition's end.
+        on_loss: Called when the store has dropped records that were not read yet.
         ordered: Whether records must arrive in the order of their offsets. The
             snapshot then holds only records before the end offset of its first page.
     """
@@ -69,6 +70,7 @@
         on_snapshot: OnSnapshot | None = None,
         on_raw_record: Callable[[int, bytes], None] | None = None,
         on_caught_up: Callable[[], None] | None = None,
+        on_loss: Callable[[], None] | None = None,
         ordered: bool = False,
     ) -> None:
         self.store = store
@@ -81,6 +83,7 @@
         self.on_snapshot = on_snapshot
         self.on_raw_record = on_raw_record
         self.on_caught_up = on_caught_up
+        self.on_loss = on_loss
         self.ordered = ordered
         self.synced_at = -1e9
         self.end_offset = 0
@@ -129,6 +132,8 @@
             except OffsetOutOfRangeError as error:
                 log_event("store.history_dropped", topic=self.topic, part=self.part)
                 self._next_offset = None if self.on_snapshot else error.first_offset
+                if self.on_loss is not None:
+                    self.on_loss()
                 continue
             except Exception as error:
                 self._record_failure(error)
--- a/buckthornstile/duties/__init__.py
+++ b/buckthornstile/duties/__init__.py
@@ -12,6 +12,7 @@
 )
 from buckthornstile.duties._load_modes import LoadModePolicy
 from buckthornstile.duties._model_loads import ModelLoadPlanner, PlannedModelLoad
+from buckthornstile.duties._seal_history import SealHistory
 from buckthornstile.duties._usage import UsageCounter, UsageTotals
 
 __all__ = [
@@ -23,6 +24,7 @@
     "LoadModePolicy",
     "ModelLoadPlanner",
     "PlannedModelLoad",
+    "SealHistory",
     "SealRecord",
     "UsageCounter",
     "UsageTotals",
--- a/buckthornstile/gateway/_lease_manager.py
+++ b/buckthornstile/gateway/_lease_manager.py
@@ -10,6 +10,8 @@
     DutyRecord,
     DutyState,
     Lease,
+    SealHistory,
+    SealRecord,
     decode_duty_record,
     encode_duty_record,
 )
@@ -48,6 +50,7 @@
         self.clock = clock
         self.duty_state = DutyState(clock)
         self.lease = Lease(name, self.duty_state, clock=clock, turn_bound=turn_bound)
+        self.seal_history = SealHistory()
         self.is_leaving = False
         self.consumer = PartitionConsumer(
             store,
@@ -57,6 +60,7 @@
             max_wait=READ_MAX_WAIT,
             on_raw_record=self._apply,
             on_caught_up=self._on_caught_up,
+            on_loss=self._on_loss,
         )
         self._reconnected_at = -1e9
         self._append_lock = asyncio.Lock()
@@ -122,6 +126,8 @@
         except ValueError as error:
             log_event("duty.record_unreadable", offset=offset, reason=error)
             return
+        if isinstance(record, SealRecord) and not record.is_reported:
+            self.seal_history.record_new_seal(record.window)
         previous_holder = self.duty_state.holder
         self.duty_state.apply(offset, record)
         if self.duty_state.holder != previous_holder:
@@ -129,6 +135,11 @@
                 "lease.holder", holder=self.duty_state.holder, term=self.duty_state.term
             )
 
+    def _on_loss(self) -> None:
+        # The holder knows all seals: nobody else seals while it holds the lease.
+        if not self.lease.is_held():
+            self.seal_history.record_loss(self.clock())
+
     def _on_caught_up(self) -> None:
         self.duty_state.end_offset = max(
             self.duty_state.end_offset, self.consumer.end_offset
--- a/buckthornstile/gateway/_usage_reporter.py
+++ b/buckthornstile/gateway/_usage_reporter.py
@@ -1,6 +1,7 @@
 """Seals usage windows and reports them while this process holds the lease."""
 
 import asyncio
+from collections import deque
 from collections.abc import Callable
 
 from buckthornstile.base import PlatformUnavailableError, ProcessName
@@ -12,6 +13,8 @@
 REPORT_TIMEOUT = 0.5
 """Seconds until a report times out; shorter than the time that the next lease holder
 waits after the lease has expired."""
+MAX_SKIPPED_WINDOWS = 32
+"""Number of skipped windows that are remembered, so that each is logged once."""
 REPORT_RETRY_DELAY = 0.3
 """Seconds before a failed report is retried."""
 
@@ -48,6 +51,7 @@
         self.wall_clock = wall_clock
         self.due = due
         self.list_pending_processes = list_pending_processes
+        self._skipped: deque[int] = deque(maxlen=MAX_SKIPPED_WINDOWS)
 
     async def report(self) -> None:
         """Seals and reports the windows that are due.
@@ -64,6 +68,8 @@
             duty_state.seals, wall_time, self.due, self.list_pending_processes()
         )
         for window in unsealed:
+            if not self._may_seal(window, wall_time):
+                continue
             record = SealRecord(window, self.totals.sum_window(window))
             offset = await self.lease_manager.append(record)
             if offset is None:
@@ -74,6 +80,20 @@
             if not seal.is_reported:
                 await self._report(seal, wall_time)
 
+    def _may_seal(self, window: int, wall_time: float) -> bool:
+        """Whether no other seal of a window can exist; if one may, logs it once.
+
+        A missing report costs less than a second one with other counts.
+        """
+        age = wall_time - (window + 1) * self.totals.window
+        ended_at = self.lease_manager.clock() - age
+        if self.lease_manager.seal_history.is_complete(window, ended_at):
+            return True
+        if window not in self._skipped:
+            self._skipped.append(window)
+            log_event("usage.skipped", window=window, age=age)
+        return False
+
     async def _report(self, seal: SealRecord, wall_time: float) -> None:
         duty_state = self.lease_manager.duty_state
         age = wall_time - (seal.window + 1) * self.totals.window
