Accept a forwarded request's response only from the entry that was asked

Cause: nothing in the response said who had sent it. Change: an entry adds its process name to its responses to other entries; a response without the expected name counts as a failed peer.

--- a/buckthornstile/entry/_daemon.py
+++ b/buckthornstile/entry/_daemon.py
@@ -59,6 +59,7 @@
     StoreClient,
     decode_request,
     encode_response,
+    identify_responder,
     is_store_call,
     read_node_settings,
 )
@@ -380,7 +381,8 @@
         self, request: ClientRequest
     ) -> Response | StreamingResponse:
         if not is_store_call(request.path):
-            return await self.client_handlers.handle_forwarded(request)
+            response = await self.client_handlers.handle_forwarded(request)
+            return identify_responder(response, self.name)
         try:
             return await self.store_proxy.handle(request)
         except BuckthornstileError as error:
--- a/buckthornstile/entry/tests/test_partition_assignment.py
+++ b/buckthornstile/entry/tests/test_partition_assignment.py
@@ -1,5 +1,6 @@
 """Partitions assigned to some of the entries: forwarded requests, killed entries."""
 
+import asyncio
 import json
 
 import pytest
@@ -132,6 +133,55 @@
     assert len(results) == 3
 
 
+@pytest.mark.parametrize(
+    "response",
+    [
+        b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+        b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n",
+    ],
+    ids=["empty", "not-found"],
+)
+def test_response_of_another_process_at_a_dead_entry_s_address_is_not_used(
+    response: bytes,
+) -> None:
+    """Its response, such as an empty 200, was passed on as that of the entry."""
+
+    @with_deployment
+    async def test(deployment: InProcessDeployment) -> None:
+        async def respond(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(response)
+            await writer.drain()
+            writer.close()
+
+        await start_deployment(deployment)
+        assigned, others = split_by_assignment(
+            deployment, find_partition(deployment, "mill")
+        )
+        assert await deployment.submit_job(others[0], make_job(), "j1") == 202
+        await deployment.wait_for_results(others[0], "j1", 3)
+        reader = deployment.entries[others[0]]
+        part = find_partition(deployment, "mill")
+        # Partitions consumed while few entries were known are released after a delay.
+        await deployment.wait_for(
+            lambda: not reader.job_store.is_consumed(part), timeout=20.0
+        )
+        first = reader.assignment.list_assigned(part)[0]
+        host, _, port = reader.presence.get_address(first).rpartition(":")
+        name = next(n for n in assigned if deployment.entries[n].name == first)
+        await deployment.kill_entry(name)
+        server = await asyncio.start_server(respond, host, int(port))
+        for _ in range(20):
+            status, data = await deployment.read_results(others[0], "j1")
+            assert status in (200, 503)
+            assert status == 503 or len(data["results"]) == 3
+        server.close()
+
+    test()
+
+
 @with_deployment
 async def test_entries_consume_only_their_assigned_partitions(
     deployment: InProcessDeployment,
--- a/buckthornstile/gateway/_peer_client.py
+++ b/buckthornstile/gateway/_peer_client.py
@@ -8,7 +8,11 @@
 from buckthornstile.http_client import ConnectionPool
 from buckthornstile.logs import log_event
 from buckthornstile.messages import ClientRequest, Response
-from buckthornstile.platform import decode_forwarded_response, encode_forwarded_request
+from buckthornstile.platform import (
+    decode_forwarded_response,
+    decode_responder,
+    encode_forwarded_request,
+)
 
 FORWARD_TIMEOUT = 0.6
 """Seconds in which a peer must respond, beyond the wait that the request states."""
@@ -62,6 +66,11 @@
                     response = await self.pool.send(
                         address, encode_forwarded_request(request)
                     )
+                # The address of an entry that has ended may be in use again.
+                if decode_responder(response) != peer:
+                    raise BuckthornstileError(
+                        ErrorCode.ANSWER_CROSSED, f"{address} is not entry {peer!r}"
+                    )
             except (TimeoutError, BuckthornstileError) as error:
                 log_event(
                     "peer.failed", request=request.id, peer=peer, reason=repr(error)
--- a/buckthornstile/platform/__init__.py
+++ b/buckthornstile/platform/__init__.py
@@ -24,8 +24,10 @@
     ResourceKind,
     decode_forwarded_response,
     decode_request,
+    decode_responder,
     encode_forwarded_request,
     encode_response,
+    identify_responder,
     parse_path,
 )
 from buckthornstile.platform._store import (
@@ -79,6 +81,8 @@
     "ResourceKind",
     "decode_configuration",
     "decode_forwarded_response",
+    "decode_responder",
+    "identify_responder",
     "decode_response_head",
     "decode_job",
     "decode_keyed_record",
--- a/buckthornstile/platform/_requests.py
+++ b/buckthornstile/platform/_requests.py
@@ -1,10 +1,11 @@
 """Decodes and encodes the requests of clients and the responses to them."""
 
+from dataclasses import replace
 from enum import Enum
 
 from tornado.httputil import HTTPHeaders
 
-from buckthornstile.base import parse_integer
+from buckthornstile.base import ProcessName, parse_integer
 from buckthornstile.http_client import HTTPRequest, HTTPResponse
 from buckthornstile.messages import ClientRequest, Headers, Response, StreamingResponse
 from buckthornstile.platform._protocol_names import (
@@ -18,6 +19,7 @@
     REQUEST_ID_HEADER,
     RESUME_AFTER_HEADER,
     RETRY_AFTER_HEADER,
+    UPSTREAM_ID_HEADER,
     WAIT_HEADER,
 )
 
@@ -84,6 +86,18 @@
     return HTTPRequest(request.method, request.target, headers, request.body or None)
 
 
+def identify_responder(
+    response: Response | StreamingResponse, name: ProcessName
+) -> Response | StreamingResponse:
+    """Adds the name of the entry that responds to another entry."""
+    return replace(response, headers=(*response.headers, (UPSTREAM_ID_HEADER, name)))
+
+
+def decode_responder(response: HTTPResponse) -> ProcessName:
+    """Decodes the name of the entry that responded, or empty if there is none."""
+    return ProcessName(response.headers.get(UPSTREAM_ID_HEADER, ""))
+
+
 def decode_forwarded_response(response: HTTPResponse) -> Response:
     """Decodes the response of another entry to a forwarded request."""
     kept = ("content-type", RETRY_AFTER_HEADER.lower())
