Write configuration changes of the test deployments under a condition

Cause, traced from the entries' logs: the withdrawal got no response and took effect late, and the harness then wrote the drain with the same revision and no condition. Operators' commands append under a condition, so that only one of the two can exist; the harness did not. Change: the harness reads the last revision and appends at the end that it read.

--- a/buckthornstile/configuration/__init__.py
+++ b/buckthornstile/configuration/__init__.py
@@ -24,6 +24,7 @@
     make_configuration,
 )
 from buckthornstile.configuration._records import (
+    CHANGE_PREFIX,
     ChangeSummary,
     ConfigurationRecord,
     encode_change,
@@ -33,6 +34,7 @@
 __all__ = [
     "ANY_ACCOUNT",
     "ANY_TRAINER",
+    "CHANGE_PREFIX",
     "EMPTY_CONFIGURATION",
     "Account",
     "ChangeError",
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -8,7 +8,7 @@
 REGRESSION_SEEDS: dict[int, str] = {
     957090290: "the stand-in worker ended its open streams as complete when it exited",
     957090299: "the check demanded an error code of an upstream's own failure",
-    971672249: "not traced; see KNOWN-RED.txt",
+    971672249: "two changes were written with one revision, without a condition",
     971672264: "a window was sealed again after the store had dropped its seal",
 }
 """Seeds that have failed before, each with its cause."""
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -3,6 +3,7 @@
 Every process listens on a loopback address of its own.
 """
 
+import base64
 import json
 import os
 import secrets
@@ -14,6 +15,7 @@
 from urllib.request import ProxyHandler, Request, build_opener
 
 from buckthornstile.configuration import (
+    CHANGE_PREFIX,
     Account,
     ApiKey,
     ConfigurationChange,
@@ -194,11 +196,19 @@
     def apply_change(
         self, *put: ConfigurationItem, remove: Iterable[ItemReference] = ()
     ) -> int:
-        """Appends a configuration change to the store.
+        """Appends a configuration change to the store, as an operator's command does.
+
+        The append is conditional: an earlier one without a response may take effect
+        late, and only one of the two may.
 
         Returns:
             Revision that the change creates.
+
+        Raises:
+            OSError: The store did not respond, or another change was appended
+                meanwhile.
         """
+        self._revision, end = self._read_revision()
         change = ConfigurationChange(
             change_id=secrets.token_hex(8),
             base_revision=self._revision,
@@ -212,14 +222,36 @@
                 encode_keyed_record(record.key, record.value)
                 for record in encode_change(change)
             ],
+            at=end,
         )
         self._revision += 1
         return self._revision
 
-    def append_records(self, topic: str, records: Iterable[bytes]) -> None:
-        """Appends records to partition 0 of a topic of the store."""
+    def _read_revision(self) -> tuple[int, int]:
+        """Returns the last revision and the end offset of the configuration."""
+        path = f"/-/log-newest?topic={CONFIGURATION_TOPIC}&part=0"
+        page = self.store.request_json("GET", path)
+        revisions = [
+            json.loads(base64.b64decode(item["value"]))["revision"]
+            for item in page["items"]
+            if item["key"].startswith(CHANGE_PREFIX)
+        ]
+        return max(revisions, default=0), page["end"]
+
+    def append_records(
+        self, topic: str, records: Iterable[bytes], *, at: int | None = None
+    ) -> None:
+        """Appends records to partition 0 of a topic of the store.
+
+        Args:
+            topic: The topic.
+            records: The records.
+            at: End offset at which the partition must be, or None for any.
+        """
         body = b"".join(struct.pack(">I", len(record)) + record for record in records)
         url = f"{self.store.url}/-/log-append?topic={topic}&part=0"
+        if at is not None:
+            url += f"&at={at}"
         request = Request(url, data=body, method="POST")
         with build_opener(ProxyHandler({})).open(
             request, timeout=DEFAULT_TIMEOUT
