Limit the size of a read of the store's stand-in, as the store does

Cause, traced from the entry's events: "the response declares a length of 2942320 bytes". The stand-in ignored maxKb and returned all records; a reader that limits its responses never got past them. Beside load more records had gathered before a read. Change: a read returns at most maxKb, and at least one record.

--- a/standins/store/_application.py
+++ b/standins/store/_application.py
@@ -15,6 +15,7 @@
 READ_HEADER = struct.Struct(">QQ")
 POLL_INTERVAL = 0.01  # seconds between two checks of a long poll
 MAX_POLL_WAIT = 30.0  # seconds
+DEFAULT_MAX_READ_KB = "1024"
 PAGE_SIZE = 500  # keys
 JOURNALED_TOPICS = frozenset({"keyed.configuration", "keyed.versions", "duties"})
 
@@ -133,7 +134,8 @@
             self.set_status(410)
             self.write({"first": partition.first})
             return
-        _, records = partition.read(start)
+        max_bytes = int(self.get_argument("maxKb", DEFAULT_MAX_READ_KB)) << 10
+        records = partition.read(start, max_bytes)
         self.write(READ_HEADER.pack(partition.end, partition.first) + records)
 
 
--- a/standins/store/_topics.py
+++ b/standins/store/_topics.py
@@ -133,13 +133,21 @@
                 self.newest.pop(key, None)
         self.records.append((time.monotonic(), record))
 
-    def read(self, start: int) -> tuple[int, bytes]:
-        """Returns the number of records from an offset on, and the encoded records."""
-        selected = [record for _, record in self.records[start - self.first :]]
-        encoded = b"".join(
-            LENGTH_PREFIX.pack(len(record)) + record for record in selected
-        )
-        return len(selected), encoded
+    def read(self, start: int, max_bytes: int) -> bytes:
+        """Returns the encoded records from an offset on.
+
+        Args:
+            start: Offset of the first record.
+            max_bytes: Maximum size; one record is returned even if it is larger.
+        """
+        encoded: list[bytes] = []
+        size = 0
+        for _, record in self.records[start - self.first :]:
+            size += LENGTH_PREFIX.size + len(record)
+            if encoded and size > max_bytes:
+                break
+            encoded += [LENGTH_PREFIX.pack(len(record)), record]
+        return b"".join(encoded)
 
     def drop_history(self, before_offset: int | None = None) -> None:
         """Removes the records below an offset, or all records.
--- a/standins/tests/test_standins.py
+++ b/standins/tests/test_standins.py
@@ -15,6 +15,7 @@
 from standins.process import ProcessManager
 from standins.server import listen
 from standins.store import make_application as make_store
+from standins.store._topics import Partition
 from standins.worker import WorkerState, generate_tokens
 from standins.worker import make_application as make_worker
 
@@ -223,3 +224,12 @@
         )
     assert "did not start within 1.0 s" in str(caught.value)
     assert "Current thread" in str(caught.value)
+
+
+def test_read_of_the_store_is_limited_in_size() -> None:
+    """It returned all records, and a reader with a limit never got past them."""
+    partition = Partition(keyed=False)
+    partition.append([b"a" * 600, b"b" * 600, b"c" * 3000])
+    assert len(partition.read(0, 1024)) == 604
+    assert len(partition.read(0, 2048)) == 2 * 604
+    assert len(partition.read(2, 1024)) == 3004
