--- a/buckthornstile/entry/_daemon.py
+++ b/buckthornstile/entry/_daemon.py
@@ -35,8 +35,8 @@
     make_upstream_components,
 )
 from buckthornstile.entry._http_listener import HTTPCodec, HTTPListener
+from buckthornstile.entry._planned_stop import PlannedStop
 from buckthornstile.entry._presence_publisher import PresencePublisher
-from buckthornstile.entry._stop_schedule import make_stop_schedule
 from buckthornstile.gateway import (
     ClientHandlers,
     GatewayMetrics,
@@ -70,10 +70,6 @@
 """Seconds; longer than any idle timeout that clients are configured with."""
 MAX_READY_STALENESS = 2.5
 """Seconds without the store after which an entry is not ready for new clients."""
-FINAL_WRITE_TIME = 0.2
-"""Seconds for clients to take the errors that end their requests in a stop."""
-STOP_POLL_INTERVAL = 0.05
-"""Seconds between two checks for open requests and running jobs during a stop."""
 RESTART_DELAY = 0.2
 """Seconds before a background task that returned or failed is started again."""
 KEY_CHECK_INTERVAL = 0.2
@@ -310,7 +306,9 @@
         self.client_listener = self._add_listener(
             handlers.handle, settings.client_address
         )
-        self._add_listener(self._handle_ready, settings.ready_address)
+        self.ready_listener = self._add_listener(
+            self._handle_ready, settings.ready_address
+        )
         self._add_listener(self._handle_metrics, settings.metrics_address)
         self.client_handlers = handlers
         self._add_listener(self._handle_peer, settings.peer_address)
@@ -511,40 +509,20 @@
             self.revocation.cancel_revoked()
 
     async def _drain(self) -> None:
-        schedule = make_stop_schedule(self.clock(), self.settings.stop_grace)
-        log_event("process.drain", open=self._count_open_requests())
         self.is_stopping = True
-        self.presence_publisher.is_leaving = True
-        self.job_manager.is_leaving = True
-        self.lease_holder_tasks.lease_manager.is_leaving = True
-        for listener in self.listeners:
-            if listener.handler != self._handle_ready:
-                listener.start_draining()
-        await self.job_manager.checkpoint_all()
-        await self.presence_publisher.publish()
-        await asyncio.sleep(schedule.reading_ends - self.clock())
-        # However long the open requests take, those that are read last must have time.
-        for listener in self.listeners:
-            listener.stop_reading()
-        await self._wait_until_idle(schedule.work_ends)
-        log_event("process.drained", open=self._count_open_requests())
-        for listener in self.listeners:
-            listener.abort_open_requests()
-        await self._wait_until_idle(self.clock() + FINAL_WRITE_TIME)
-        await self.presence_publisher.publish()
-        for listener in self.listeners:
-            await listener.close()
+        stop = PlannedStop(
+            clock=self.clock,
+            listeners=self.listeners,
+            ready_listener=self.ready_listener,
+            job_manager=self.job_manager,
+            presence_publisher=self.presence_publisher,
+            lease_manager=self.lease_holder_tasks.lease_manager,
+        )
+        await stop.run(self.settings.stop_grace)
 
     def _count_open_requests(self) -> int:
         return sum(listener.open_request_count for listener in self.listeners)
 
-    async def _wait_until_idle(self, latest: float) -> None:
-        """Waits until no request is open and no job runs, or until a clock reading."""
-        while self.clock() < latest:
-            if not self._count_open_requests() + self.job_manager.count_running():
-                return
-            await asyncio.sleep(STOP_POLL_INTERVAL)
-
 
 def make_ssl_options(settings: EntrySettings) -> ssl.SSLContext | None:
     """Returns the TLS context of the API listener, or None if TLS is not configured."""
