Let runs finish in a lease holder that has just started

Cause: an entry that starts after a single-version route was moved did not know that its items still ran at the old service, and ordered its engines to continue them under the new version; the items were then run again.

--- a/buckthornstile/duties/_load_modes.py
+++ b/buckthornstile/duties/_load_modes.py
@@ -20,6 +20,7 @@
     def __init__(self, view: TopologyView) -> None:
         self.view = view
         self._last_required: dict[ServiceName, float] = {}
+        self._first_observed_at: float | None = None
 
     def observe(self, now: float) -> None:
         """Records which services' routes require a single version now.
@@ -27,6 +28,8 @@
         Args:
             now: The current clock reading, in seconds.
         """
+        if self._first_observed_at is None:
+            self._first_observed_at = now
         configuration = self.view.configuration
         for route in configuration.routes if configuration else ():
             if route.requires_single_version:
@@ -41,7 +44,15 @@
             now: The current clock reading, in seconds.
         """
         self.observe(now)
-        required_at = self._last_required.get(service)
-        if required_at is not None and now - required_at < RUNNING_ITEM_SECONDS:
+        if self._may_run_single_version_items(service, now):
             return LoadMode.FINISH_FIRST
         return LoadMode.CONTINUE
+
+    def _may_run_single_version_items(self, service: ServiceName, now: float) -> bool:
+        """Whether a service's engines may run items that require a single version."""
+        assert self._first_observed_at is not None
+        if now - self._first_observed_at < RUNNING_ITEM_SECONDS:
+            # A route that requires one may have been moved before this process started.
+            return bool(self._last_required)
+        required_at = self._last_required.get(service)
+        return required_at is not None and now - required_at < RUNNING_ITEM_SECONDS
