--- /dev/null
+++ b/review/harness2/__init__.py
@@ -0,0 +1,1 @@
+"""Starts a small deployment for a review case and records what it sees."""
