--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""ONE: a holder that froze takes the lease back with the fencing token it had before."""
+"""ONE: a holder that froze takes the lease back with its old fencing token."""
 
 import asyncio
 import itertools
