--- a/review/harness2/deployment.py
+++ b/review/harness2/deployment.py
@@ -69,12 +69,16 @@
 
 
 class Record:
-    """The lines of ``record.txt``: seconds since the start of the case, and an event."""
+    """The lines of ``record.txt``: seconds since the start, and an event."""
 
     def __init__(self) -> None:
         self.started_at = time.time()
         self.lines: list[str] = []
 
+    def now(self) -> float:
+        """Returns the seconds since the start of the case."""
+        return time.time() - self.started_at
+
     def add(self, text: str, at: float | None = None) -> None:
         """Adds a line, by default for the present moment."""
         at = time.time() if at is None else at
@@ -167,11 +171,16 @@
         return process
 
     async def _start_stand_in(
-        self, name: str, module: str, flags: list[str], address: str = ""
+        self,
+        name: str,
+        module: str,
+        flags: list[str],
+        address: str = "",
+        environment: dict[str, str] | None = None,
     ) -> Process:
         address = address or self.allocate_address()
         command = [sys.executable, "-m", module, "--address", address, *flags]
-        process = self.start(name, command)
+        process = self.start(name, command, environment)
         process.address = address
         deadline = time.monotonic() + READY_TIMEOUT
         while time.monotonic() < deadline:
@@ -194,7 +203,13 @@
         return link
 
     async def start_worker(
-        self, name: str, service: str, zone: str = "zone-a", **flags: object
+        self,
+        name: str,
+        service: str,
+        zone: str = "zone-a",
+        *,
+        environment: dict[str, str] | None = None,
+        **flags: object,
     ) -> Process:
         """Starts a worker; a known one starts again at its address, under its id."""
         known = self.workers.get(name)
@@ -210,6 +225,7 @@
             "review.harness2.worker",
             arguments,
             known.address if known else "",
+            environment,
         )
         process.link = link
         self.workers[name] = process
