--- a/review/harness2/deployment.py
+++ b/review/harness2/deployment.py
@@ -30,6 +30,7 @@
 KEY = "k1key0000000000"
 TENANT = "tenant-1"
 READY_TIMEOUT = 25.0  # seconds
+MEMORY_MB = 330
 BOUNDS = {
     "seedLagS": 3,
     "reuseAfterS": 2,
@@ -137,7 +138,7 @@
         self._version = 0
 
     async def __aenter__(self) -> "Deployment":
-        self.store = await self._start_stand_in("store", "standins.store", [])
+        self.store = await self._start_stand_in("store", "review.harness2.store", [])
         return self
 
     async def __aexit__(self, *_: object) -> None:
@@ -260,7 +261,7 @@
             "limits": {
                 "cpuShare": 0.717,
                 "cores": 3,
-                "memoryMb": 330,
+                "memoryMb": MEMORY_MB,
                 "maxFds": 8200,
                 "linkMbps": 1000.0,
                 "diskMb": 0,
@@ -321,9 +322,15 @@
     # The operator, and what the stand-ins recorded
 
     async def write_configuration(
-        self, routes: list[dict[str, Any]], services: list[dict[str, Any]]
+        self,
+        routes: list[dict[str, Any]],
+        services: list[dict[str, Any]],
+        keys: dict[str, str] | None = None,
     ) -> None:
-        """Writes the next version of the configuration."""
+        """Writes the next version of the configuration.
+
+        ``keys`` holds the key of each tenant, by default of a single one.
+        """
         self._version += 3
         await self.write_operator_record(
             "config",
@@ -337,7 +344,10 @@
                     "headerTimeoutMs": 3000,
                     "idleTimeoutMs": 15000,
                 },
-                "tenants": [{"name": TENANT, "apiKeys": [KEY]}],
+                "tenants": [
+                    {"name": name, "apiKeys": [key]}
+                    for name, key in (keys or {TENANT: KEY}).items()
+                ],
             },
         )
 
