--- a/review/6/case.py
+++ b/review/6/case.py
@@ -31,29 +31,36 @@
 """Each is of the machine that holds the duty at that time."""
 
 
-async def send_requests(deployment: Deployment, numbers: Iterator[int]) -> None:
-    """Sends a request to an entry in turn, so that there is usage to report."""
-    while True:
-        number = next(numbers)
-        entry = deployment.entries[ENTRIES[number % len(ENTRIES)]]
-        headers = {
-            "Host": HOST,
-            "Request-Id": f"{number:016x}",
-            "Credential": KEY,
-            "Deadline-Ms": "2000",
-        }
-        asyncio.get_running_loop().create_task(
-            fetch(
-                entry.address,
-                entry.port,
-                "POST",
-                f"/look/{number}",
-                headers=headers,
-                body=b"x",
-                timeout=2.0,
-            )
-        )
-        await asyncio.sleep(0.1)
+async def send_request(deployment: Deployment, record: Record, number: int) -> None:
+    """Sends one request to an entry in turn."""
+    name = ENTRIES[number % len(ENTRIES)]
+    entry = deployment.entries[name]
+    headers = {
+        "Host": HOST,
+        "Request-Id": f"{number:016x}",
+        "Credential": KEY,
+        "Deadline-Ms": "2000",
+    }
+    answer = await fetch(
+        entry.address,
+        entry.port,
+        "POST",
+        f"/look/{number}",
+        headers=headers,
+        body=b"x",
+        timeout=2.0,
+    )
+    record.add(f"request {number} to {name}: {answer.status or 'no answer'}")
+
+
+async def send_requests(
+    deployment: Deployment, record: Record, numbers: Iterator[int]
+) -> None:
+    """Sends requests until cancelled, so that there is usage to report."""
+    async with asyncio.TaskGroup() as group:
+        for number in numbers:
+            group.create_task(send_request(deployment, record, number))
+            await asyncio.sleep(0.1)
 
 
 async def read_reports(deployment: Deployment) -> list[dict[str, Any]]:
@@ -78,7 +85,7 @@
         [make_route("look", "desk")], [make_service("desk")]
     )
     await deployment.wait_until_ready()
-    traffic = asyncio.create_task(send_requests(deployment, itertools.count(1)))
+    traffic = asyncio.create_task(send_requests(deployment, record, itertools.count(1)))
     try:
         disturbances: list[tuple[float, float]] = []
         for _ in range(MAX_FREEZES):
@@ -95,6 +102,7 @@
                 break
     finally:
         traffic.cancel()
+        await asyncio.gather(traffic, return_exceptions=True)
     for report in reports:
         window, term = report["body"]["window"], report["term"]
         text = f"platform: window {window} from {report['holder']}, token {term}"
