--- a/review/harness2/deployment.py
+++ b/review/harness2/deployment.py
@@ -441,6 +441,10 @@
     verdict = 2
 
     async def run() -> str | None:
+        task = asyncio.current_task()
+        assert task is not None
+        # Ends all processes of the case.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         async with asyncio.timeout(115), Deployment(record) as deployment:
             return await case(deployment, record, trouble)
 
@@ -448,7 +452,7 @@
         broken = asyncio.run(run())
         verdict = 1 if broken else 0
         record.add(f"verdict: {'broken: ' + broken if broken else 'held'}")
-    except Exception as error:  # The case could not be run.
+    except (Exception, asyncio.CancelledError) as error:
         record.add(f"verdict: could not run: {type(error).__name__}: {error}")
     record.write(Path(path).with_name("record.txt"))
     print(sorted(record.lines)[-1])
