--- a/review/6/case.py
+++ b/review/6/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import os
 import time
 from collections.abc import Iterator
 from typing import Any
@@ -155,4 +156,4 @@
 
 
 if __name__ == "__main__":
-    run_case(case, __file__)
+    run_case(case, __file__, trouble=os.environ.get("TROUBLE", "1") != "0")
--- a/review/harness2/deployment.py
+++ b/review/harness2/deployment.py
@@ -431,13 +431,13 @@
     record.add(f"{process.name}: thawed")
 
 
-def run_case(case, path: str) -> None:  # noqa: ANN001
+def run_case(case, path: str, *, trouble: bool) -> None:  # noqa: ANN001
     """Runs ``case(deployment, record, trouble)`` and exits with its verdict.
 
-    The case returns None if the rule held, or a sentence that tells how it was broken.
+    Without ``trouble``, the case does the same without its disruption. It returns None
+    if the rule held, or a sentence that tells how it was broken.
     """
     record = Record()
-    trouble = os.environ.get("TROUBLE", "1") != "0"
     verdict = 2
 
     async def run() -> str | None:
