Choose duty records after the wait for other appends

Cause: a renewal, claim or seal was chosen before the wait for another append of the same process, and was sent with the end offset that was read after the wait. The condition on the end offset therefore did not cover records that were read meanwhile, such as another process's claim.

Change: LeaseManager.append takes a function that chooses the record in the step that reads the end offset, and the seal checks the lease again there.

Ruled out: a late append (refused by its end offset), a late acknowledgement (the record was the newest), the extension after a stall (it only changes how often the fault shows).

--- a/buckthornstile/gateway/_lease_manager.py
+++ b/buckthornstile/gateway/_lease_manager.py
@@ -2,6 +2,8 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Generic, TypeVar
 
 from buckthornstile.base import ProcessName
 from buckthornstile.consumers import PartitionConsumer
@@ -10,6 +12,7 @@
     DutyRecord,
     DutyState,
     Lease,
+    LeaseRecord,
     SealHistory,
     SealRecord,
     decode_duty_record,
@@ -26,6 +29,24 @@
 """Seconds that the lease must still last for a call to be started."""
 
 
+RecordT = TypeVar("RecordT", bound=DutyRecord)
+
+
+@dataclass(frozen=True, slots=True)
+class AppendedRecord(Generic[RecordT]):
+    """A record that the store has acknowledged.
+
+    Attributes:
+        record: The record.
+        offset: Its offset in the duty topic.
+        sent_at: Clock time in seconds at which it was sent.
+    """
+
+    record: RecordT
+    offset: int
+    sent_at: float
+
+
 class LeaseManager:
     """Consumes the duty topic, and claims and renews the lease.
 
@@ -82,43 +103,60 @@
         Raises:
             PlatformUnavailableError: The append failed or its outcome is unknown.
         """
-        if (
-            not self.consumer.is_loaded
-            or self.consumer.get_staleness() > READ_MAX_WAIT + APPEND_TIMEOUT
-        ):
+        appended = await self.append(self._choose_lease_record)
+        if appended is None:
             return
-        record = None if self.is_leaving else self.lease.get_due_record()
-        if record is None:
-            return
-        sent_at = self.clock()
-        offset = await self.append(record)
-        if offset is None:
-            return
-        self.lease.record_acknowledged(record, offset, sent_at)
-        if record.term is None:
+        self.lease.record_acknowledged(
+            appended.record, appended.offset, appended.sent_at
+        )
+        if appended.record.term is None:
             log_event("lease.taken", term=self.duty_state.term)
 
-    async def append(self, record: DutyRecord) -> int | None:
+    async def append(
+        self, choose_record: Callable[[], RecordT | None]
+    ) -> AppendedRecord[RecordT] | None:
         """Appends a record at the last known end of the duty topic.
 
+        Args:
+            choose_record: Returns the record, or None for no append. It is called
+                after the wait for other appends of this process: the store compares
+                the end offset that was known at the decision, so that a record that
+                another process appended since then prevents the append.
+
         Returns:
-            The offset of the record, or None if the topic has grown meanwhile.
+            The acknowledged record, or None if there was none to append or the topic
+            has grown meanwhile.
 
         Raises:
             PlatformUnavailableError: The append failed or its outcome is unknown.
         """
         async with self._append_lock:
+            record, end_offset = choose_record(), self.duty_state.end_offset
+            if record is None:
+                return None
+            sent_at = self.clock()
             try:
-                return await self.store.append(
+                offset = await self.store.append(
                     DUTY_TOPIC,
                     0,
                     [encode_duty_record(record)],
-                    at=self.duty_state.end_offset,
+                    at=end_offset,
                     timeout=APPEND_TIMEOUT,
                 )
             except AppendConflictError:
                 # The consumer reads the records that were written meanwhile.
                 return None
+        return AppendedRecord(record, offset, sent_at)
+
+    def _choose_lease_record(self) -> LeaseRecord | None:
+        """Returns the claim or renewal that is due, if any."""
+        if (
+            self.is_leaving
+            or not self.consumer.is_loaded
+            or self.consumer.get_staleness() > READ_MAX_WAIT + APPEND_TIMEOUT
+        ):
+            return None
+        return self.lease.get_due_record()
 
     def _apply(self, offset: int, data: bytes) -> None:
         try:
--- a/buckthornstile/gateway/_usage_reporter.py
+++ b/buckthornstile/gateway/_usage_reporter.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
+from functools import partial
 
 from buckthornstile.base import PlatformUnavailableError, ProcessName
 from buckthornstile.duties import SealRecord, UsageTotals
@@ -70,16 +71,23 @@
         for window in unsealed:
             if not self._may_seal(window, wall_time):
                 continue
-            record = SealRecord(window, self.totals.sum_window(window))
-            offset = await self.lease_manager.append(record)
-            if offset is None:
+            appended = await self.lease_manager.append(partial(self._make_seal, window))
+            if appended is None:
                 return
-            duty_state.apply(offset, record)
-            log_event("usage.sealed", window=window, counts=dict(record.counts))
+            duty_state.apply(appended.offset, appended.record)
+            counts = dict(appended.record.counts)
+            log_event("usage.sealed", window=window, counts=counts)
         for seal in list(duty_state.seals.values()):
             if not seal.is_reported:
                 await self._report(seal, wall_time)
 
+    def _make_seal(self, window: int) -> SealRecord | None:
+        """Returns the seal of a window, or None if this process may not seal it now."""
+        is_sealed = window in self.lease_manager.duty_state.seals
+        if is_sealed or not self.lease_manager.can_act():
+            return None
+        return SealRecord(window, self.totals.sum_window(window))
+
     def _may_seal(self, window: int, wall_time: float) -> bool:
         """Whether no other seal of a window can exist; if one may, logs it once.
 
@@ -116,4 +124,4 @@
         # Applied first, so that this lease holder does not report the window again if
         # the append fails; the offset leaves ``end_offset`` unchanged.
         duty_state.apply(duty_state.end_offset - 1, record)
-        await self.lease_manager.append(record)
+        await self.lease_manager.append(lambda: record)
--- /dev/null
+++ b/buckthornstile/gateway/tests/test_lease_manager.py
@@ -0,0 +1,203 @@
+"""The lease manager's appends while other processes write to the duty topic."""
+
+import asyncio
+from collections.abc import Callable, Coroutine, Sequence
+
+import pytest
+
+from buckthornstile.base import PlatformUnavailableError, ProcessName
+from buckthornstile.duties import (
+    DutyRecord,
+    LeaseRecord,
+    SealRecord,
+    UsageTotals,
+    decode_duty_record,
+    encode_duty_record,
+)
+from buckthornstile.gateway import LeaseManager, UsageReporter
+from buckthornstile.platform import AppendConflictError, DutyClient, FetchResult
+
+TURN_BOUND_SECONDS = 3.0
+WINDOW_SECONDS = 5.0
+OWN_NAME, OTHER_NAME, THIRD_NAME = map(ProcessName, ("e1", "e2", "e3"))
+SEAL = SealRecord(7, {"mill": 3})
+
+
+class FakeStore:
+    """One partition of the store that can hold back the answer to an append."""
+
+    def __init__(self) -> None:
+        self.records: list[bytes] = []
+        self.held_answer: asyncio.Future[None] | None = None
+
+    def hold_next_answer(self) -> asyncio.Future[None]:
+        """Returns a future; the next append is answered as it is completed."""
+        self.held_answer = asyncio.get_running_loop().create_future()
+        return self.held_answer
+
+    def write(self, record: DutyRecord) -> None:
+        """Appends a record of another process."""
+        self.records.append(encode_duty_record(record))
+
+    def list_lease_holders(self) -> list[ProcessName]:
+        """Returns the holder of each lease record."""
+        records = map(decode_duty_record, self.records)
+        return [record.holder for record in records if isinstance(record, LeaseRecord)]
+
+    async def append(
+        self,
+        topic: str,
+        part: int,
+        records: Sequence[bytes],
+        *,
+        at: int,
+        timeout: float,
+    ) -> int:
+        if at != len(self.records):
+            raise AppendConflictError("end", len(self.records))
+        self.records += records
+        held_answer, self.held_answer = self.held_answer, None
+        if held_answer is not None:
+            await held_answer
+        return at
+
+    async def read(
+        self, topic: str, part: int, start_offset: int, **options: float
+    ) -> FetchResult:
+        await asyncio.sleep(0.001)
+        end = len(self.records)
+        return FetchResult(
+            tuple(enumerate(self.records[start_offset:], start_offset)), end, end
+        )
+
+
+class Setup:
+    """A lease manager on a fake store, with a clock that the test advances."""
+
+    def __init__(self) -> None:
+        self.now = 100.0
+        self.store = FakeStore()
+        self.manager = LeaseManager(
+            OWN_NAME,
+            store=self.store,
+            clock=lambda: self.now,
+            turn_bound=TURN_BOUND_SECONDS,
+        )
+        self._consumer = asyncio.create_task(self.manager.consumer.run())
+
+    async def wait_for(self, is_met: Callable[[], bool]) -> None:
+        """Waits until a condition is met."""
+        async with asyncio.timeout(8.0):
+            while not is_met():
+                await asyncio.sleep(0.001)
+
+    async def read_all(self) -> None:
+        """Waits until the manager has read all records, at the present time."""
+        consumer = self.manager.consumer
+        await self.wait_for(
+            lambda: (
+                consumer.end_offset == len(self.store.records)
+                and consumer.synced_at == self.now
+            )
+        )
+
+    async def lose_answer(self, record: DutyRecord) -> Callable[[], None]:
+        """Starts an append that is executed; returns what reports its answer as lost.
+
+        It is one of the manager's own, so that its later appends wait for it.
+        """
+        answer = self.store.hold_next_answer()
+        task = asyncio.create_task(self.manager.append(lambda: record))
+        await self.wait_for(lambda: self.store.held_answer is None)
+
+        async def expect_failure() -> None:
+            with pytest.raises(PlatformUnavailableError):
+                await task
+
+        self.failure = asyncio.create_task(expect_failure())
+        return lambda: answer.set_exception(PlatformUnavailableError("lost"))
+
+    def make_usage_reporter(self) -> UsageReporter:
+        """Returns a reporter with one window that has to be sealed."""
+        totals = UsageTotals(WINDOW_SECONDS)
+        window = int(self.now // WINDOW_SECONDS) - 2
+        totals.apply(OWN_NAME, {window: {"mill": 3}}, self.now)
+        return UsageReporter(
+            "front-a",
+            self.manager,
+            totals=totals,
+            client=DutyClient("127.0.0.1:1"),
+            wall_clock=lambda: self.now,
+            due=10.0,
+            list_pending_processes=lambda: [],
+        )
+
+    async def close(self) -> None:
+        await self.failure
+        self._consumer.cancel()
+        await asyncio.gather(self._consumer, return_exceptions=True)
+
+
+async def act_behind_lost_answer(
+    setup: Setup, act: Callable[[], Coroutine[None, None, None]]
+) -> None:
+    """Calls ``act`` during a lost append; meanwhile another process takes the lease."""
+    report_loss = await setup.lose_answer(SEAL)
+    await setup.read_all()
+    action = asyncio.create_task(act())
+    await asyncio.sleep(0)
+    setup.now += 4.0
+    setup.store.write(LeaseRecord(OTHER_NAME))
+    await setup.read_all()
+    report_loss()
+    await action
+
+
+def test_renewal_decided_before_another_claim_is_not_appended_after_it() -> None:
+    """A frozen holder took the lease back with its old, lower term."""
+
+    async def run() -> None:
+        setup = Setup()
+        await setup.read_all()
+        await setup.manager.keep()
+        assert setup.manager.lease.is_held()
+        setup.now += 0.5
+        await act_behind_lost_answer(setup, setup.manager.keep)
+        assert setup.store.list_lease_holders() == [OWN_NAME, OTHER_NAME]
+        assert not setup.manager.lease.is_held()
+        await setup.close()
+
+    asyncio.run(run())
+
+
+def test_claim_decided_before_another_claim_is_not_appended_after_it() -> None:
+    """A process took the lease from one that had held it for a moment."""
+
+    async def run() -> None:
+        setup = Setup()
+        setup.store.write(LeaseRecord(THIRD_NAME))
+        await setup.read_all()
+        setup.now += TURN_BOUND_SECONDS
+        await act_behind_lost_answer(setup, setup.manager.keep)
+        assert setup.store.list_lease_holders() == [THIRD_NAME, OTHER_NAME]
+        await setup.close()
+
+    asyncio.run(run())
+
+
+def test_window_is_not_sealed_by_a_process_that_lost_the_lease_meanwhile() -> None:
+    """A process sealed a window with old counts, beside the holder that followed it."""
+
+    async def run() -> None:
+        setup = Setup()
+        await setup.read_all()
+        await setup.manager.keep()
+        reporter = setup.make_usage_reporter()
+        await act_behind_lost_answer(setup, reporter.report)
+        records = [decode_duty_record(data) for data in setup.store.records]
+        assert [record for record in records if isinstance(record, SealRecord)] == [
+            SEAL
+        ]
+        await setup.close()
+
+    asyncio.run(run())
