Ignore renewals of a lease term that has been replaced

Every entry followed a renewal of any term and holder, so that one stale record in the duty topic moved the lease back to a lower term.

Change: a renewal counts only for the current term and its holder, or for a higher term, whose claim the store has dropped. lease.renewal_ignored logs one that doesn't count.

Before: test_renewal_of_a_replaced_term_does_not_give_the_lease_back fails ('e1', 3 instead of 'e2', 4). After: it passes, with the 300 examples of the lease's state machine.

--- a/buckthornstile/duties/_lease.py
+++ b/buckthornstile/duties/_lease.py
@@ -101,7 +101,7 @@
         """Applies the record at an offset.
 
         The counts of a window's first seal are kept; later seals can only mark the
-        window as reported.
+        window as reported. A renewal of a term that has been replaced has no effect.
         """
         self.end_offset = max(self.end_offset, offset + 1)
         if isinstance(record, SealRecord):
@@ -111,10 +111,22 @@
             elif record.is_reported:
                 self.seals[record.window] = SealRecord(known.window, known.counts, True)
             return
+        if not self.accepts(record):
+            return
         self.last_record_at = self.clock()
         self.holder = record.holder
         self.term = offset if record.term is None else record.term
 
+    def accepts(self, record: LeaseRecord) -> bool:
+        """Whether a new lease record is a claim, or renews a term still in effect.
+
+        A term that is higher than the known one is that of a claim which the store has
+        dropped.
+        """
+        if record.term is None or record.term > self.term:
+            return True
+        return record.term == self.term and record.holder == self.holder
+
     def reset_last_record_at(self) -> None:
         """Restarts the claim timeout after a store outage.
 
--- a/buckthornstile/duties/tests/test_lease_machine.py
+++ b/buckthornstile/duties/tests/test_lease_machine.py
@@ -202,3 +202,22 @@
     machine.terms_never_decrease()
     machine.each_term_has_one_holder()
     machine.lease_does_not_return_within_the_bound()
+
+
+def test_renewal_of_a_replaced_term_does_not_give_the_lease_back() -> None:
+    """All processes followed a holder that renewed a term lower than the current."""
+    state = DutyState(lambda: 0.0)
+    state.apply(3, LeaseRecord("e1"))
+    state.apply(4, LeaseRecord("e2"))
+    state.apply(5, LeaseRecord("e1", 3))
+    assert (state.holder, state.term, state.end_offset) == ("e2", 4, 6)
+    state.apply(6, LeaseRecord("e1", 4))
+    assert (state.holder, state.term) == ("e2", 4)
+
+
+def test_renewal_of_a_claim_that_the_store_has_dropped_is_followed() -> None:
+    """A process that did not read the claim must still follow its holder."""
+    state = DutyState(lambda: 0.0)
+    state.apply(3, LeaseRecord("e1"))
+    state.apply(40, LeaseRecord("e2", 17))
+    assert (state.holder, state.term) == ("e2", 17)
--- a/buckthornstile/gateway/_lease_manager.py
+++ b/buckthornstile/gateway/_lease_manager.py
@@ -166,6 +166,13 @@
             return
         if isinstance(record, SealRecord) and not record.is_reported:
             self.seal_history.record_new_seal(record.window)
+        if isinstance(record, LeaseRecord) and not self.duty_state.accepts(record):
+            log_event(
+                "lease.renewal_ignored",
+                holder=record.holder,
+                term=record.term,
+                current_term=self.duty_state.term,
+            )
         previous_holder = self.duty_state.holder
         self.duty_state.apply(offset, record)
         if self.duty_state.holder != previous_holder:
