Ignore acknowledgements of lease records older than the latest known one

A process that received the answer to its claim after it had read a later claim set itself as the holder again. Its next renewal, with the older and lower term, was appended at the current end, and it acted with that term.

Cause: record_acknowledged applied the record without regard to its offset, so that an old record replaced the state that newer ones had made.

Change: the duty state keeps the offset of the latest lease record and ignores earlier ones; an acknowledgement prolongs the lease only if its term is the current one.

The state machine of the lease now delivers acknowledgements late.

--- a/buckthornstile/duties/_lease.py
+++ b/buckthornstile/duties/_lease.py
@@ -94,6 +94,7 @@
         self.holder: ProcessName | None = None
         self.term = -1
         self.end_offset = 0
+        self.lease_offset = -1
         self.last_record_at: float | None = None
         self.seals: dict[int, SealRecord] = {}
 
@@ -101,7 +102,8 @@
         """Applies the record at an offset.
 
         The counts of a window's first seal are kept; later seals can only mark the
-        window as reported. A renewal of a term that has been replaced has no effect.
+        window as reported. A renewal of a term that has been replaced has no effect,
+        nor has a lease record at an offset before that of a known one.
         """
         self.end_offset = max(self.end_offset, offset + 1)
         if isinstance(record, SealRecord):
@@ -111,8 +113,9 @@
             elif record.is_reported:
                 self.seals[record.window] = SealRecord(known.window, known.counts, True)
             return
-        if not self.accepts(record):
+        if offset <= self.lease_offset or not self.accepts(record):
             return
+        self.lease_offset = offset
         self.last_record_at = self.clock()
         self.holder = record.holder
         self.term = offset if record.term is None else record.term
@@ -203,5 +206,8 @@
             sent_at: Clock time in seconds at which it was sent.
         """
         self.state.apply(offset, record)
-        self._renewed_at = sent_at
-        self._renewed_term = self.state.term
+        term = offset if record.term is None else record.term
+        # Records of others may have been read before this acknowledgement.
+        if self.state.term == term:
+            self._renewed_at = sent_at
+            self._renewed_term = term
--- a/buckthornstile/duties/tests/test_lease_machine.py
+++ b/buckthornstile/duties/tests/test_lease_machine.py
@@ -32,6 +32,13 @@
             name, self.state, clock=lambda: machine.now, turn_bound=TURN_BOUND_SECONDS
         )
         self.next_offset = 0
+        self.unanswered: tuple[LeaseRecord, int, float] | None = None
+
+    def receive_answer(self) -> None:
+        """Receives the acknowledgement of an append that the store has executed."""
+        if self.unanswered is not None:
+            self.lease.record_acknowledged(*self.unanswered)
+            self.unanswered = None
 
     def read_log(self, log: list[bytes]) -> None:
         """Applies the records that it has not read yet."""
@@ -54,7 +61,7 @@
     @rule(
         name=st.sampled_from(NAMES),
         outcome=st.sampled_from(
-            ["acknowledged", "acknowledged", "lost", "late", "slow"]
+            ["acknowledged", "acknowledged", "lost", "late", "slow", "unanswered"]
         ),
         wait=st.sampled_from([0.0, 0.0, 0.3, 0.9, 2.5]),
         reads=st.booleans(),
@@ -84,7 +91,7 @@
     def write(self, name: str, outcome: str) -> None:
         process = self.processes[name]
         record = process.lease.get_due_record()
-        if record is None:
+        if record is None or process.unanswered is not None:
             return
         sent_at, offset = self.now, process.state.end_offset
         data = encode_duty_record(record)
@@ -96,7 +103,9 @@
         if offset != len(self.log):
             return
         self.log.append(data)
-        if outcome != "lost":
+        if outcome == "unanswered":
+            process.unanswered = (record, offset, sent_at)
+        elif outcome != "lost":
             process.lease.record_acknowledged(record, offset, sent_at)
 
     @rule()
@@ -106,6 +115,10 @@
             if offset == len(self.log):
                 self.log.append(data)
 
+    @rule(name=st.sampled_from(NAMES))
+    def receive_answer(self, name: str) -> None:
+        self.processes[name].receive_answer()
+
     @rule(name=st.sampled_from(NAMES))
     def restart(self, name: str) -> None:
         self.processes[name] = Process(self, name)
@@ -204,6 +217,23 @@
     machine.lease_does_not_return_within_the_bound()
 
 
+def test_late_acknowledgement_does_not_bring_a_replaced_term_back() -> None:
+    """A process received the answer to its claim after it had read a later claim."""
+    machine = LeaseMachine()
+    machine.start()
+    machine.write("e1", "unanswered")
+    machine.read("e2")
+    machine.now += TURN_BOUND_SECONDS
+    machine.write("e2", "acknowledged")
+    machine.act("e2")
+    machine.read("e1")
+    machine.processes["e1"].receive_answer()
+    machine.write("e1", "acknowledged")
+    machine.act("e1")
+    assert [name for _, name, _ in machine.acts] == ["e2"]
+    assert len(machine.log) == 2
+
+
 def test_renewal_of_a_replaced_term_does_not_give_the_lease_back() -> None:
     """All processes followed a holder that renewed a term lower than the current."""
     state = DutyState(lambda: 0.0)
