Check the lease after connecting, before an order or report is written

A holder that was suspended or lost the lease while it opened a connection sent the order or report afterwards. Its timeout, the rest of the lease, runs on the event loop's clock, which stops while a VM is suspended. A load order also read the term in a task of its own, after the plan, where it could be the next holder's term.

Change: both calls carry the term read beside can_act, and check it with the lease in before_send.

--- a/buckthornstile/base/_errors.py
+++ b/buckthornstile/base/_errors.py
@@ -47,6 +47,7 @@
     # It is not known whether the job of an item still runs in this process.
     JOB_UNVERIFIED = "process.job_unverified"
     DRAINING = "process.draining"
+    LEASE_LOST = "process.lease_lost"
     CONNECTION_LOST = "process.connection_lost"
     # Upstreams
     UPSTREAM_FAILED = "upstream.failed"
--- a/buckthornstile/gateway/_lease_manager.py
+++ b/buckthornstile/gateway/_lease_manager.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import Generic, TypeVar
 
-from buckthornstile.base import ProcessName
+from buckthornstile.base import BuckthornstileError, ErrorCode, ProcessName
 from buckthornstile.consumers import PartitionConsumer
 from buckthornstile.duties import (
     DUTY_TOPIC,
@@ -93,6 +93,21 @@
             and self.lease.get_remaining_time() > MIN_REMAINING_TIME
         )
 
+    def check_term(self, term: int) -> None:
+        """Raises unless this process may still act with a term.
+
+        For ``before_send`` of the holder's calls: the process may have been suspended,
+        or have lost the lease, while it opened a connection.
+
+        Raises:
+            BuckthornstileError: The lease has expired or has another term.
+        """
+        if not self.lease.is_held() or self.duty_state.term != term:
+            raise BuckthornstileError(
+                ErrorCode.LEASE_LOST,
+                f"the lease of term {term} was lost before the call was sent",
+            )
+
     def clamp_timeout(self, seconds: float) -> float:
         """Limits a timeout to the remaining time of the lease."""
         return min(seconds, self.lease.get_remaining_time())
--- a/buckthornstile/gateway/_model_load_dispatcher.py
+++ b/buckthornstile/gateway/_model_load_dispatcher.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
+from functools import partial
 
 from buckthornstile.base import BuckthornstileError, UpstreamId
 from buckthornstile.duties import LoadModePolicy, ModelLoadPlanner, PlannedModelLoad
@@ -68,6 +69,7 @@
         self.mode_policy.observe(self.clock())
         if not self.lease_manager.can_act():
             return
+        term = self.lease_manager.duty_state.term
         loads = self.planner.plan()
         for name in self.planner.list_upstreams_to_poll():
             self.planner.record_unknown_outcome(name)
@@ -76,7 +78,7 @@
             expected_orders = self.planner.get_order_count(load.upstream)
             if expected_orders is not None:
                 self.planner.record_unknown_outcome(load.upstream)
-                self._spawn(self._send_order(load, expected_orders))
+                self._spawn(self._send_order(load, expected_orders, term))
 
     def list_unpublished_versions(self) -> LoadedVersions:
         """Returns the versions that engines hold but the topology does not show yet."""
@@ -92,7 +94,9 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _send_order(self, load: PlannedModelLoad, expected_orders: int) -> None:
+    async def _send_order(
+        self, load: PlannedModelLoad, expected_orders: int, term: int
+    ) -> None:
         upstream = self.view.upstreams.get(load.upstream)
         if upstream is None:
             return
@@ -102,14 +106,17 @@
             version=load.version,
             mode=self.mode_policy.choose(upstream.service, self.clock()),
             holder=self.node,
-            term=self.lease_manager.duty_state.term,
+            term=term,
             expected_orders=expected_orders,
         )
         outcome = "unanswered"
         try:
             async with asyncio.timeout(self.lease_manager.clamp_timeout(ORDER_TIMEOUT)):
                 response = await self.pool.send(
-                    upstream.address, encode_order(order), new_connection=True
+                    upstream.address,
+                    encode_order(order),
+                    new_connection=True,
+                    before_send=partial(self.lease_manager.check_term, term),
                 )
             result = decode_order_answer(response)
             outcome = result.value
--- a/buckthornstile/gateway/_usage_reporter.py
+++ b/buckthornstile/gateway/_usage_reporter.py
@@ -107,20 +107,22 @@
         age = wall_time - (seal.window + 1) * self.totals.window
         if age > self.due or not self.lease_manager.can_act():
             return
+        term = duty_state.term
         try:
             await self.client.report_usage(
                 seal.window,
                 seal.counts,
                 holder=self.node,
-                term=duty_state.term,
+                term=term,
                 timeout=self.lease_manager.clamp_timeout(REPORT_TIMEOUT),
+                before_send=partial(self.lease_manager.check_term, term),
             )
         except PlatformUnavailableError as error:
             log_event("usage.report_failed", window=seal.window, reason=error.message)
             await asyncio.sleep(REPORT_RETRY_DELAY)
             return
         record = SealRecord(seal.window, seal.counts, is_reported=True)
-        log_event("usage.reported", window=seal.window, term=duty_state.term, age=age)
+        log_event("usage.reported", window=seal.window, term=term, age=age)
         # Applied first, so that this lease holder does not report the window again if
         # the append fails; the offset leaves ``end_offset`` unchanged.
         duty_state.apply(duty_state.end_offset - 1, record)
--- a/buckthornstile/gateway/tests/test_lease_manager.py
+++ b/buckthornstile/gateway/tests/test_lease_manager.py
@@ -2,20 +2,25 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine, Sequence
+from unittest.mock import Mock
 
 import pytest
+from tornado.httputil import HTTPHeaders
 
-from buckthornstile.base import PlatformUnavailableError, ProcessName
+from buckthornstile.base import PlatformUnavailableError, ProcessName, UpstreamId
 from buckthornstile.duties import (
     DutyRecord,
     LeaseRecord,
+    PlannedModelLoad,
     SealRecord,
     UsageTotals,
     decode_duty_record,
     encode_duty_record,
 )
-from buckthornstile.gateway import LeaseManager, UsageReporter
+from buckthornstile.gateway import LeaseManager, ModelLoadDispatcher, UsageReporter
+from buckthornstile.http_client import HTTPRequest, HTTPResponse
 from buckthornstile.platform import AppendConflictError, DutyClient, FetchResult
+from buckthornstile.topology import TopologyView, Upstream
 
 TURN_BOUND_SECONDS = 3.0
 WINDOW_SECONDS = 5.0
@@ -83,6 +88,7 @@
             clock=lambda: self.now,
             turn_bound=TURN_BOUND_SECONDS,
         )
+        self.failure: asyncio.Task[None] | None = None
         self._consumer = asyncio.create_task(self.manager.consumer.run())
 
     async def wait_for(self, is_met: Callable[[], bool]) -> None:
@@ -133,7 +139,8 @@
         )
 
     async def close(self) -> None:
-        await self.failure
+        if self.failure is not None:
+            await self.failure
         self._consumer.cancel()
         await asyncio.gather(self._consumer, return_exceptions=True)
 
@@ -201,3 +208,75 @@
         await setup.close()
 
     asyncio.run(run())
+
+
+class ConnectingPool:
+    """Connections that open when the test says so."""
+
+    def __init__(self) -> None:
+        self.is_connecting = asyncio.Event()
+        self.opens = asyncio.Event()
+        self.sent: list[HTTPRequest] = []
+
+    async def send(
+        self,
+        address: str,
+        request: HTTPRequest,
+        *,
+        before_send: Callable[[], None] | None = None,
+        **options: bool,
+    ) -> HTTPResponse:
+        self.is_connecting.set()
+        await self.opens.wait()
+        if before_send is not None:
+            before_send()
+        self.sent.append(request)
+        return HTTPResponse(200, HTTPHeaders(), bytearray())
+
+
+def make_load_dispatcher(setup: Setup, pool: ConnectingPool) -> ModelLoadDispatcher:
+    """Returns a dispatcher with one order that is due."""
+    view = TopologyView()
+    upstream = Upstream(UpstreamId("w1"), "engines", "127.0.0.1", 9000, "a", 8)
+    view.apply_upstream(upstream, setup.now)
+    planner = Mock()
+    planner.plan.return_value = [PlannedModelLoad(upstream.id, "llm", 2)]
+    planner.list_upstreams_to_poll.return_value = []
+    planner.get_order_count.return_value = 0
+    return ModelLoadDispatcher(
+        "front-a",
+        setup.manager,
+        view=view,
+        planner=planner,
+        clock=lambda: setup.now,
+        pool=pool,
+        on_version_loaded=lambda: None,
+        record_failure=lambda upstream: None,
+    )
+
+
+@pytest.mark.parametrize("call", ["order", "report"])
+def test_holder_that_lost_the_lease_while_connecting_sends_nothing(call: str) -> None:
+    """A call of a suspended holder arrived with a lower term than the next holder's."""
+
+    async def run() -> None:
+        setup = Setup()
+        await setup.read_all()
+        await setup.manager.keep()
+        pool = ConnectingPool()
+        if call == "order":
+            await make_load_dispatcher(setup, pool).order()
+        else:
+            reporter = setup.make_usage_reporter()
+            reporter.client._pool = pool
+            asyncio.create_task(reporter.report())
+        await pool.is_connecting.wait()
+        setup.now += 4.0
+        setup.store.write(LeaseRecord(OTHER_NAME))
+        await setup.read_all()
+        pool.opens.set()
+        await asyncio.sleep(0.02)
+        assert pool.sent == []
+        await setup.close()
+
+    asyncio.run(run())
--- a/buckthornstile/platform/_duties.py
+++ b/buckthornstile/platform/_duties.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import json
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from buckthornstile.base import BuckthornstileError, PlatformUnavailableError
 from buckthornstile.http_client import ConnectionPool, HTTPRequest, ResponseLimit
@@ -37,6 +37,7 @@
         holder: str,
         term: int,
         timeout: float,
+        before_send: Callable[[], None] | None = None,
     ) -> None:
         """Reports how many requests each client account sent in a usage window.
 
@@ -46,6 +47,8 @@
             holder: The duty's holder.
             term: The holder's term; the platform refuses reports of earlier terms.
             timeout: Seconds to wait for the response.
+            before_send: Called just before the report is written; raises if it must no
+                longer be sent.
 
         Raises:
             PlatformUnavailableError: The report was refused or got no response.
@@ -60,7 +63,9 @@
         request = HTTPRequest("POST", "/usage", headers, body)
         try:
             async with asyncio.timeout(timeout):
-                response = await self._pool.send(self.address, request)
+                response = await self._pool.send(
+                    self.address, request, before_send=before_send
+                )
         except (TimeoutError, BuckthornstileError) as error:
             raise PlatformUnavailableError(f"usage report failed: {error}") from error
         if response.status != 200:
