Read the wall clock anew for each usage window

The age of all windows was computed from one reading of the wall clock, before the seals and reports that the step waits for. After a slow call a window could be reported past its due time, and the check for dropped seals compared a new reading of the steady clock with an old one of the wall clock, which makes a window look younger than the loss.

Change: each check reads both clocks, and the seal repeats its check after the wait for other appends.

Before: test_report_that_has_become_overdue_during_another_is_not_sent fails (windows 17 and 18 instead of 17). After: it passes.

--- a/buckthornstile/gateway/_usage_reporter.py
+++ b/buckthornstile/gateway/_usage_reporter.py
@@ -63,13 +63,12 @@
         """
         if not self.lease_manager.can_act():
             return
-        wall_time = self.wall_clock()
         duty_state = self.lease_manager.duty_state
         unsealed = self.totals.find_windows_to_seal(
-            duty_state.seals, wall_time, self.due, self.list_pending_processes()
+            duty_state.seals, self.wall_clock(), self.due, self.list_pending_processes()
         )
         for window in unsealed:
-            if not self._may_seal(window, wall_time):
+            if not self._may_seal(window):
                 continue
             appended = await self.lease_manager.append(partial(self._make_seal, window))
             if appended is None:
@@ -79,21 +78,21 @@
             log_event("usage.sealed", window=window, counts=counts)
         for seal in list(duty_state.seals.values()):
             if not seal.is_reported:
-                await self._report(seal, wall_time)
+                await self._report(seal)
 
     def _make_seal(self, window: int) -> SealRecord | None:
         """Returns the seal of a window, or None if this process may not seal it now."""
         is_sealed = window in self.lease_manager.duty_state.seals
-        if is_sealed or not self.lease_manager.can_act():
+        if is_sealed or not self.lease_manager.can_act() or not self._may_seal(window):
             return None
         return SealRecord(window, self.totals.sum_window(window))
 
-    def _may_seal(self, window: int, wall_time: float) -> bool:
+    def _may_seal(self, window: int) -> bool:
         """Whether no other seal of a window can exist; if one may, logs it once.
 
         A missing report costs less than a second one with other counts.
         """
-        age = wall_time - (window + 1) * self.totals.window
+        age = self._get_age(window)
         ended_at = self.lease_manager.clock() - age
         if self.lease_manager.seal_history.is_complete(window, ended_at):
             return True
@@ -102,9 +101,13 @@
             log_event("usage.skipped", window=window, age=age)
         return False
 
-    async def _report(self, seal: SealRecord, wall_time: float) -> None:
+    def _get_age(self, window: int) -> float:
+        """Returns the seconds since a window's end."""
+        return self.wall_clock() - (window + 1) * self.totals.window
+
+    async def _report(self, seal: SealRecord) -> None:
         duty_state = self.lease_manager.duty_state
-        age = wall_time - (seal.window + 1) * self.totals.window
+        age = self._get_age(seal.window)
         if age > self.due or not self.lease_manager.can_act():
             return
         term = duty_state.term
