Prove that a stream's upstream has not started again with other software

Streams could also begin at such an upstream and be taken for streams of the listed version at every other entry.

Cause: the version came from the registration, whose age has no bound, and a run was compared only with a newer registration.

Change: after the head of a run has arrived, the entry requests the upstream's report. If it names the listed start, the process has run since before the request. Otherwise no stream goes on there, and one that begins there is recorded with an unknown version.

The stand-in's reports now name its start, and events in the tests name the version, so that clients show which versions they hold.

--- a/buckthornstile/entry/_components.py
+++ b/buckthornstile/entry/_components.py
@@ -14,6 +14,7 @@
     CallSender,
     CrashDetector,
     CrashLog,
+    IncarnationChecker,
     JobStore,
     LeaseHolderTasks,
     LeaseManager,
@@ -167,7 +168,11 @@
         writes_per_second=settings.store_write_rate,
         counters=counters,
     )
-    stream_proxy = StreamProxy(StreamResources(sender, balancer, pool, stream_versions))
+    stream_proxy = StreamProxy(
+        StreamResources(
+            sender, balancer, pool, stream_versions, IncarnationChecker(pool)
+        )
+    )
     return UpstreamComponents(
         balancer,
         topology_watcher,
--- a/buckthornstile/entry/tests/in_process.py
+++ b/buckthornstile/entry/tests/in_process.py
@@ -9,6 +9,7 @@
 import struct
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
+from unittest.mock import Mock
 
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
@@ -84,6 +85,7 @@
             {"name": name, "version": version, "adapters": []}
             for name, version in self.state.versions.items()
         ]
+        self.state.started_at_ms = changes.get("born", self.state.started_at_ms)
         registration = {
             "service": self.service,
             "address": f"127.0.0.1:{self.port}",
@@ -93,13 +95,31 @@
             "state": "ready",
             "coldRemainingMs": 0,
             "sequence": 1,
-            "born": 1,
+            "born": self.state.started_at_ms,
             "models": models,
         } | changes
         self.deployment.put_record(
             "keyed.servers", self.name, json.dumps(registration).encode()
         )
 
+    async def restart_with(self, software_version: str, *, registers: bool) -> None:
+        """Ends the worker and starts it again with another version of its software.
+
+        Args:
+            software_version: The version.
+            registers: Whether it writes its registration, or cannot reach the store.
+        """
+        await self.stop()
+        self.state.software_version = software_version
+        self.state.padding = f" {software_version}"
+        if registers:
+            self.start()
+            return
+        registration, self.write_registration = self.write_registration, Mock()
+        self.start()
+        self.write_registration = registration
+        self.state.started_at_ms = self.start_count
+
     def remove_registration(self) -> None:
         """Removes the registration."""
         self.deployment.put_record("keyed.servers", self.name, b"")
--- a/buckthornstile/entry/tests/stream_clients.py
+++ b/buckthornstile/entry/tests/stream_clients.py
@@ -46,6 +46,8 @@
     """Adds an upstream that runs a version of the software."""
     state.setdefault("events", EVENT_COUNT)
     state.setdefault("event_seconds", 0.02)
+    # Each event names the version, so that clients show which versions they hold.
+    state.setdefault("padding", f" {version}")
     return deployment.add_worker(name, MODEL_SERVICE, software_version=version, **state)
 
 
@@ -122,12 +124,9 @@
 
     def list_software(self) -> set[str]:
         """Returns the software versions of the upstreams whose events it holds."""
-        return {
-            worker.state.software_version
-            for worker in self.deployment.workers.values()
-            for run in worker.list_runs()
-            if run["request"].startswith(f"{self.name}-") and run.get("versions")
-        }
+        text = b"".join(self.chunks).decode()
+        lines = (line for line in text.split("\n") if line.startswith("data: "))
+        return {line.rpartition(" ")[2] for line in lines}
 
     def is_whole(self) -> bool:
         """Whether the client holds every event once, in order."""
--- a/buckthornstile/gateway/__init__.py
+++ b/buckthornstile/gateway/__init__.py
@@ -12,6 +12,10 @@
     HandlerDependencies,
     make_error_response,
 )
+from buckthornstile.gateway._incarnation_checker import (
+    IncarnationChecker,
+    IncarnationState,
+)
 from buckthornstile.gateway._item_runner import ItemRunner
 from buckthornstile.gateway._job_context import JobDependencies
 from buckthornstile.gateway._job_freshness import JobFreshness
@@ -57,6 +61,8 @@
     "CrashDetector",
     "CrashLog",
     "EngineShares",
+    "IncarnationChecker",
+    "IncarnationState",
     "LeaseHolderTasks",
     "LoadBalancer",
     "PartitionAssignment",
--- a/buckthornstile/gateway/_proxied_stream.py
+++ b/buckthornstile/gateway/_proxied_stream.py
@@ -22,6 +22,7 @@
     is_stale_state_error,
 )
 from buckthornstile.gateway._fingerprint import compute_fingerprint
+from buckthornstile.gateway._incarnation_checker import IncarnationChecker
 from buckthornstile.gateway._load_balancer import LoadBalancer
 from buckthornstile.gateway._request_profiles import make_call_profile
 from buckthornstile.gateway._slot_waiting import (
@@ -48,6 +49,9 @@
 
 STREAM_IDLE_TIMEOUT = 1.2
 """Seconds without an event after which a resumable stream moves to another upstream."""
+UNKNOWN_VERSION = SoftwareVersion("")
+"""Version of a stream that began at an upstream whose present software is not known. No
+upstream registers it, so that nothing resumes the stream."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,12 +63,14 @@
         balancer: Chooses upstreams.
         pool: Connections to them.
         versions: Knows which software versions began streams.
+        incarnations: Checks that an upstream is the one whose version is known.
     """
 
     sender: CallSender
     balancer: LoadBalancer
     pool: ConnectionPool
     versions: StreamVersionLog
+    incarnations: IncarnationChecker
 
 
 class ProxiedStream:
@@ -150,6 +156,8 @@
                     return response
                 elif head.has_content_encoding or not head.signature:
                     await self._record_failure(run)
+                elif not await self._may_resume_at(run.upstream):
+                    self.may_have_run = True
                 else:
                     if self.last_event_id is not None:
                         self.resources.versions.record_take_up(self.call, run.upstream)
@@ -185,7 +193,11 @@
     def _make_filter(self) -> Callable[[Upstream], bool]:
         """Returns whether an upstream may run the stream now."""
         may_run = cache(self._may_run_at)
-        return lambda upstream: may_run(upstream.software_version)
+        is_replaced = self.resources.incarnations.is_replaced
+        return lambda upstream: (
+            may_run(upstream.software_version)
+            and not (self.software_version is not None and is_replaced(upstream))
+        )
 
     def _may_run_at(self, version: SoftwareVersion) -> bool:
         if self.software_version is not None:
@@ -194,6 +206,30 @@
             self.call, version
         )
 
+    async def _may_resume_at(self, upstream: Upstream) -> bool:
+        """Whether a run whose head has arrived is at the version that began the stream.
+
+        True for a run that begins the stream.
+        """
+        if self.software_version is None:
+            return True
+        state = await self.resources.incarnations.check(upstream)
+        return state.may_be_listed
+
+    async def _find_first_version(self, run: StreamRun) -> SoftwareVersion | None:
+        """Returns the version that begins the stream, or None if it must not begin."""
+        state = await self.resources.incarnations.check(run.upstream)
+        if run.has_been_replaced():
+            return None
+        if state.may_be_listed:
+            return run.upstream.software_version
+        versions = self.resources.versions
+        if self.call.may_be_resumed and not versions.may_begin(
+            self.call, UNKNOWN_VERSION
+        ):
+            return None
+        return UNKNOWN_VERSION
+
     def _start(self) -> StreamRun:
         """Starts the next run.
 
@@ -333,8 +369,11 @@
                 run.is_malformed = True
                 return
             self._report_executed()
-            if self.software_version is None:
-                self.software_version = run.upstream.software_version
+            if self.software_version is None and self.route.is_resumable:
+                self.software_version = await self._find_first_version(run)
+                if self.software_version is None:
+                    run.is_malformed = True
+                    return
                 if self.call.may_be_resumed:
                     await self.resources.versions.record_begin(
                         self.call, self.software_version
@@ -358,7 +397,7 @@
                     self._record_refusal(run, head)
                 elif head is None or head.status != STREAM_STATUS or not head.signature:
                     await self._record_failure(run)
-                else:
+                elif await self._may_resume_at(run.upstream):
                     return run
             except BaseException:
                 await run.cancel()
--- a/buckthornstile/platform/__init__.py
+++ b/buckthornstile/platform/__init__.py
@@ -49,11 +49,13 @@
     decode_upstream,
 )
 from buckthornstile.platform._upstreams import (
+    ReportedStart,
     UpstreamEventParser,
     decode_generation_sizes,
     decode_order_answer,
     decode_report,
     decode_response_head,
+    decode_start,
     encode_event,
     encode_generation,
     encode_order,
@@ -74,7 +76,9 @@
     "VERSION_PREFIX",
     "AppendConflictError",
     "DutyClient",
+    "ReportedStart",
     "UpstreamEventParser",
+    "decode_start",
     "OffsetOutOfRangeError",
     "LatestRecords",
     "FetchResult",
--- a/buckthornstile/platform/_upstreams.py
+++ b/buckthornstile/platform/_upstreams.py
@@ -1,6 +1,7 @@
 """Encodes calls and orders to upstreams, and decodes their responses and streams."""
 
 import json
+from dataclasses import dataclass
 
 from buckthornstile.base import UpstreamId, parse_integer, parse_json
 from buckthornstile.http_client import HTTPRequest, HTTPResponse
@@ -44,6 +45,7 @@
 
 OTHER_UPSTREAM_STATUS = 421
 """Status with which an upstream refuses a call that is meant for another one."""
+TOO_MANY_STATUS = 429
 LOAD_MODES = {LoadMode.FINISH_FIRST: "wait", LoadMode.CONTINUE: "continue"}
 """The protocol's name of each load mode."""
 MAX_SLOWDOWN_PERCENT = 1e6
@@ -179,6 +181,39 @@
     return HTTPRequest("GET", REPORT_PATH, headers)
 
 
+@dataclass(frozen=True, slots=True)
+class ReportedStart:
+    """What a report says of the incarnation that sent it.
+
+    Attributes:
+        started_at_ms: Its start, in milliseconds since the epoch, or None if the report
+            does not state it.
+        is_other_upstream: Whether another upstream has answered.
+    """
+
+    started_at_ms: int | None = None
+    is_other_upstream: bool = False
+
+
+def decode_start(response: HTTPResponse) -> ReportedStart | None:
+    """Decodes when the upstream that sent a report started.
+
+    Returns:
+        The start, or None if the upstream could not report.
+    """
+    if response.status == OTHER_UPSTREAM_STATUS:
+        return ReportedStart(is_other_upstream=True)
+    if response.status == TOO_MANY_STATUS or response.status >= 500:
+        return None
+    try:
+        data = parse_json(response.body)
+    except ValueError:
+        return ReportedStart()
+    started_at_ms = data.get("born") if isinstance(data, dict) else None
+    is_integer = isinstance(started_at_ms, int) and not isinstance(started_at_ms, bool)
+    return ReportedStart(started_at_ms if is_integer else None)
+
+
 def decode_report(response: HTTPResponse) -> EngineReport:
     """Decodes an engine's report.
 
--- a/standins/worker/_application.py
+++ b/standins/worker/_application.py
@@ -39,6 +39,7 @@
         work_seconds: Seconds that a plain request takes.
         versions: Loaded version of each model.
         software_version: Version of the software, as the worker registers it.
+        started_at_ms: Start of the worker, in milliseconds since the epoch.
         load_count: Number of load orders accepted.
         running: Number of running requests.
         is_loading: Whether the worker is loading a version.
@@ -58,6 +59,7 @@
     work_seconds: float = 0.002
     versions: dict[str, int] = field(default_factory=dict)
     software_version: str = "v1"
+    started_at_ms: int = field(default_factory=lambda: int(time.time() * 1000))
     load_count: int = 0
     running: int = 0
     is_loading: bool = False
@@ -88,6 +90,7 @@
     - ``cut_end``: the connection of a stream is closed after its last event.
     - ``stall``: a stream pauses for ``seconds`` before each event after the first
       ``value``.
+    - ``mute_report``: the connection is closed without a report of the worker's state.
     - ``mute_order``: a load order takes effect, but no response is sent.
     - ``late_order``: a load order takes effect after ``seconds``, and no response is
       sent.
@@ -273,7 +276,10 @@
     """``GET /-/report``: reports the state of the worker."""
 
     def get(self) -> None:
-        """Writes the loaded versions and the number of load orders."""
+        """Writes the loaded versions, the number of load orders and the start."""
+        if self.faults.consume("mute_report"):
+            drop_connection(self)
+            return
         if not self.check_expected_instance():
             return
         models = [
@@ -286,6 +292,7 @@
                 "models": models,
                 "busy": self.state.is_loading,
                 "sequence": self.state.load_count,
+                "born": self.state.started_at_ms,
             }
         )
 
--- a/standins/worker/_registration.py
+++ b/standins/worker/_registration.py
@@ -46,7 +46,6 @@
         self.service = service
         self.failure_domain = failure_domain
         self.heartbeat = heartbeat
-        self.started_at_ms = int(time.time() * 1000)
         self.warm_at = time.monotonic() + cold_seconds
         self.is_draining = False
         self._heartbeat_count = 0
@@ -80,7 +79,7 @@
             "state": "draining" if self.is_draining else "ready",
             "coldRemainingMs": int(cold_seconds * 1000),
             "sequence": self._heartbeat_count,
-            "born": self.started_at_ms,
+            "born": self.state.started_at_ms,
             "models": [
                 {"name": name, "version": version, "adapters": []}
                 for name, version in versions
