Rely on a default version of streams only if it was read 20 s ago at most

An entry that reads registrations, or still knows old ones, but not the records of streams could begin streams without a record at a default version that has been replaced meanwhile; others take them for streams of its successor (rule ORDER). Nothing bounded the age of the default.

Change: streams are recorded once the defaults were read longer ago than the difference between the time for which a retired default stays (60 s) and the life of a stream without a record (40 s).

Before: test_default_that_was_read_long_ago_is_not_relied_on fails: a stream that began 21 s after the read may live 1 s beyond the replacement. After: it passes. No run of entries that showed it was tried; the change follows from the numbers.

--- a/buckthornstile/gateway/_stream_version_log.py
+++ b/buckthornstile/gateway/_stream_version_log.py
@@ -207,6 +207,7 @@
             version,
             self.table,
             self.defaults.observations,
+            now=self.clock(),
             synced_at=self.consumer.synced_at,
             client_time=_get_client_time(call),
         )
--- a/buckthornstile/stream_versions/_observations.py
+++ b/buckthornstile/stream_versions/_observations.py
@@ -20,6 +20,10 @@
 """Seconds for which a retired default stays before another version becomes the default.
 No stream without a record lives that long; the difference covers entries that learn
 late that the default is retired."""
+MAX_DEFAULT_AGE = RETIREMENT_TIME - UNRECORDED_LIFETIME
+"""Seconds since the defaults were read after which none is relied on: it may have been
+retired just after the read, and streams without a record must end before another
+version becomes the default."""
 MAX_OBSERVATION_GAP = 30.0
 """Seconds between two observations after which a version may have been absent in
 between; less than ``RETIREMENT_TIME``, so that the default has not changed."""
@@ -94,6 +98,7 @@
     table: StreamVersionTable,
     observations: VersionObservations,
     *,
+    now: float,
     synced_at: float,
     client_time: float,
 ) -> bool:
@@ -104,10 +109,11 @@
         version: The version.
         table: The defaults in effect.
         observations: The versions in service.
+        now: The time, in seconds.
         synced_at: When the read of the defaults was sent that last reached their end.
         client_time: Seconds for which the client may resume the stream.
     """
-    if client_time > UNRECORDED_LIFETIME:
+    if client_time > UNRECORDED_LIFETIME or now - synced_at > MAX_DEFAULT_AGE:
         return True
     if table.get_default(route) != RouteDefault(route, version):
         return True
--- a/buckthornstile/stream_versions/tests/test_random_walk.py
+++ b/buckthornstile/stream_versions/tests/test_random_walk.py
@@ -162,6 +162,7 @@
             version,
             entry.table,
             entry.observations,
+            now=self.now,
             synced_at=entry.synced_at,
             client_time=client_time,
         ):
--- a/buckthornstile/stream_versions/tests/test_table.py
+++ b/buckthornstile/stream_versions/tests/test_table.py
@@ -19,6 +19,10 @@
     needs_record,
     plan_defaults,
 )
+from buckthornstile.stream_versions._observations import (
+    RETIREMENT_TIME,
+    UNRECORDED_LIFETIME,
+)
 
 ROUTE = RoutePrefix("notes")
 KEY = encode_route_key(ROUTE)
@@ -105,7 +109,7 @@
     observations.observe({ROUTE: {"v1": 1}}, 10.0)
 
     def is_recorded(**changes) -> bool:
-        options = {"synced_at": 10.0, "client_time": 30.0} | changes
+        options = {"now": 10.0, "synced_at": 10.0, "client_time": 30.0} | changes
         version = options.pop("version", "v1")
         return needs_record(ROUTE, version, table, observations, **options)
 
@@ -115,6 +119,26 @@
     assert is_recorded(synced_at=-21.0)
 
 
+def test_default_that_was_read_long_ago_is_not_relied_on() -> None:
+    """Streams of a former default were taken for streams of its successor."""
+    observations = VersionObservations()
+    observations.observe({ROUTE: {"v1": 1}}, 0.0)
+    retired_at = synced_at = 6.0
+    replaced_at = retired_at + RETIREMENT_TIME
+    lifetime = UNRECORDED_LIFETIME
+    for began_at in range(7, 100):
+        is_recorded = needs_record(
+            ROUTE,
+            "v1",
+            make_table(),
+            observations,
+            now=float(began_at),
+            synced_at=synced_at,
+            client_time=lifetime,
+        )
+        assert is_recorded or began_at + lifetime <= replaced_at
+
+
 def plan(table, observations, now):
     (change,) = plan_defaults(table, observations, now) or [DefaultChange(ROUTE, None)]
     return change.default
