Fail responses whose status is no final answer

Here 000 got 502, but 600 and 999 were passed on as answers, and the response behind a status 101 was taken for the answer, on calls, streams, items and calls to the store. A status below 100 without a length held the request until its deadline.

Cause: only statuses below 200 counted as no answer, and all bytes behind them were read.

Change: the HTTP client fails a response whose status is neither an interim one other than 101 nor within 200 to 599, at once, as one that may have run.

--- a/buckthornstile/http_client/_exchange.py
+++ b/buckthornstile/http_client/_exchange.py
@@ -31,8 +31,13 @@
 """Size up to which a request's body is copied behind its head, which saves a packet."""
 MAX_STREAMED_BYTES = 64 << 20
 """Maximum size of a body that is passed on in chunks and not collected."""
+FIRST_INTERIM_STATUS = 100
+"""Lowest status of an interim response, which the final response follows."""
 FIRST_FINAL_STATUS = 200
-"""Responses with a lower status are informational: the final response follows them."""
+FIRST_INVALID_STATUS = 600
+SWITCHING_PROTOCOLS_STATUS = 101
+"""Interim status after which no response in this protocol follows. No request asks for
+it."""
 NO_LINGER = struct.pack("ii", 1, 0)
 """``SO_LINGER`` on, with a timeout of zero: closing resets the connection."""
 
@@ -69,6 +74,7 @@
         self.is_finished = False
         self.is_mismatched = False
         self.abort_reason = ""
+        self.invalid_status: int | None = None
         self.has_declared_length = False
         self.keeps_alive = False
 
@@ -78,7 +84,12 @@
         headers: HTTPHeaders,
     ) -> None:
         assert isinstance(start_line, ResponseStartLine)
-        if start_line.code < FIRST_FINAL_STATUS:
+        # Tornado goes on with bytes that it has read before the connection was closed.
+        if self.invalid_status is not None or _is_interim(start_line.code):
+            return
+        if not FIRST_FINAL_STATUS <= start_line.code < FIRST_INVALID_STATUS:
+            self.invalid_status = start_line.code
+            reset(self.stream)
             return
         if self.request.echo_header:
             # The first response on a new connection may lack the header, as it cannot
@@ -180,6 +191,11 @@
     stream.close()
 
 
+def _is_interim(status: int) -> bool:
+    is_informational = FIRST_INTERIM_STATUS <= status < FIRST_FINAL_STATUS
+    return is_informational and status != SWITCHING_PROTOCOLS_STATUS
+
+
 def _consume_error(write_future: "asyncio.Future[None]") -> None:
     # A failed write also leads to a missing response, which is reported as an error.
     if not write_future.cancelled():
@@ -193,6 +209,11 @@
             ErrorCode.ANSWER_CROSSED,
             "the response belongs to another request",
         )
+    elif reader.invalid_status is not None:
+        code, message = (
+            ErrorCode.UPSTREAM_FAILED,
+            f"status {reader.invalid_status:03} is not that of a final response",
+        )
     elif reader.abort_reason:
         code, message = ErrorCode.ANSWER_TOO_LARGE, reader.abort_reason
     elif response is None:
