Check the signature of each success on streaming routes

Cause: the signature and the content encoding were checked only for the status of a stream; other statuses counted as failures and were passed on unchanged.

Change: each status below 300 is checked, before the status is compared.

Before: 8 of 8 cases of test_unsigned_success_of_a_streaming_route_is_an_error fail. After: they pass.

--- a/buckthornstile/entry/tests/test_streams.py
+++ b/buckthornstile/entry/tests/test_streams.py
@@ -331,3 +331,19 @@
         assert status == (503 if resumable else 502)
 
     test()
+
+
+@pytest.mark.parametrize("resumable", [False, True], ids=["once", "resumable"])
+@pytest.mark.parametrize("status", [201, 204, 206, 299])
+def test_unsigned_success_of_a_streaming_route_is_an_error(
+    status: int, resumable: bool
+) -> None:
+    """Only a response with status 200 was checked for the upstream's signature."""
+
+    @with_deployment
+    async def test(deployment: InProcessDeployment) -> None:
+        response = f"HTTP/1.1 {status} Odd\r\nContent-Length: 0\r\n\r\n".encode()
+        answer, _ = await read_failure(deployment, response, resumable=resumable)
+        assert answer == 502
+
+    test()
--- a/buckthornstile/gateway/_proxied_stream.py
+++ b/buckthornstile/gateway/_proxied_stream.py
@@ -47,6 +47,8 @@
 from buckthornstile.platform import encode_event
 from buckthornstile.topology import Upstream
 
+FIRST_FAILURE_STATUS = 300
+"""HTTP status from which a response needs no signature of its upstream."""
 STREAM_IDLE_TIMEOUT = 1.2
 """Seconds without an event after which a resumable stream moves to another upstream."""
 UNKNOWN_VERSION = SoftwareVersion("")
@@ -150,12 +152,14 @@
                     await self._record_failure(run)
                 elif head.is_refusal:
                     self._record_refusal(run, head)
+                elif head.status < FIRST_FAILURE_STATUS and (
+                    head.has_content_encoding or not head.signature
+                ):
+                    await self._record_failure(run)
                 elif head.status != STREAM_STATUS:
                     response = await self._read_failure(run, head)
                     self.ticket.end(is_complete=False)
                     return response
-                elif head.has_content_encoding or not head.signature:
-                    await self._record_failure(run)
                 elif not await self._may_resume_at(run.upstream):
                     self.may_have_run = True
                 else:
