Skip runners that have ended while jobs of withdrawn keys are stopped

The process ended with a KeyError if a runner ended, or was replaced, while the end of another job with a withdrawn key was written to the store. A replaced runner's successor would have been stopped in its place.

Cause: the loop kept a list of runners from before its calls to the store.

Before: test_runner_that_ended_during_a_call_to_the_store_ends_nothing fails with KeyError: 'j2'. After: it passes.

--- a/buckthornstile/gateway/_job_manager.py
+++ b/buckthornstile/gateway/_job_manager.py
@@ -168,7 +168,9 @@
         """Stops and ends the jobs whose key was withdrawn."""
         for runner in list(self._runners.values()):
             job = runner.job
-            if not self._is_key_withdrawn(job):
+            # The runner may have ended or been replaced during the calls for others.
+            is_current = self._runners.get(job.id) is runner
+            if not is_current or not self._is_key_withdrawn(job):
                 continue
             log_event("job.key_lost", job=job.id, key=job.specification.key)
             self._runners.pop(job.id).stop()
--- /dev/null
+++ b/buckthornstile/gateway/tests/test_job_manager.py
@@ -0,0 +1,66 @@
+"""Decisions of the job manager that a wait for the store has made obsolete."""
+
+import asyncio
+from collections.abc import Callable
+from types import SimpleNamespace
+from unittest.mock import Mock
+
+from buckthornstile.base import ProcessName
+from buckthornstile.gateway._job_manager import JobManager
+
+OWN_NAME, OTHER_NAME = ProcessName("e1"), ProcessName("e2")
+
+
+class Setup:
+    """A job manager with two jobs, whose calls to the store run a function."""
+
+    def __init__(self) -> None:
+        self.live = [OWN_NAME]
+        self.jobs = {name: self.make_job(name) for name in ("j1", "j2")}
+        self.store = Mock(table=SimpleNamespace(jobs=self.jobs))
+        self.presence = Mock(list_live=lambda: list(self.live))
+        self.manager = JobManager(
+            OWN_NAME,
+            Mock(store=self.store),
+            self.presence,
+            assignment=Mock(list_assigned=lambda part: [OWN_NAME]),
+            clock=lambda: 100.0,
+            result_lifetime=60.0,
+            is_withdrawn=lambda key: key == "withdrawn",
+        )
+
+    def make_job(self, name: str) -> Mock:
+        claim = SimpleNamespace(owner=OTHER_NAME, epoch=1)
+        specification = Mock(account="mill", path_prefix="/steps/", model=None, key="")
+        job = Mock(id=name, claim=claim, part=0, specification=specification)
+        job.is_finished.return_value = False
+        job.get_lifetime.return_value = 60.0
+        job.started_at = job.claimed_at = 90.0
+        return job
+
+    def replace_call(self, method: str, change: Callable[[], object]) -> list[str]:
+        """Makes a method of the store run a function in its first call.
+
+        Returns:
+            The jobs that it is called with.
+        """
+        called: list[str] = []
+
+        async def call(job: Mock) -> None:
+            called.append(job.id)
+            if len(called) == 1:
+                change()
+
+        setattr(self.store, method, call)
+        return called
+
+
+def test_runner_that_ended_during_a_call_to_the_store_ends_nothing() -> None:
+    """The manager, and with it the process, ended with a KeyError."""
+    setup = Setup()
+    for name, job in setup.jobs.items():
+        job.specification.key = "withdrawn"
+        setup.manager._runners[name] = Mock(job=job)
+    called = setup.replace_call("end", lambda: setup.manager._runners.pop("j2"))
+    asyncio.run(setup.manager._stop_withdrawn_jobs())
+    assert called == ["j1"]
