Decide each claim of a job on the processes that are live at that time

All claims of one round used a list of live processes from before the first one, and went on after a planned stop had begun. With many jobs and a slow store, the list was seconds old: jobs were taken from owners that were back. Fencing kept results whole; items ran twice.

Change: the live processes, the time and the stop are read again for each job.

Before: both cases of test_claim_is_decided_on_what_is_known_when_it_is_sent fail (j1 and j2 instead of j1). After: they pass.

--- a/buckthornstile/gateway/_job_manager.py
+++ b/buckthornstile/gateway/_job_manager.py
@@ -180,11 +180,11 @@
                 log_event("job.end_failed", job=job.id, reason=error.message)
 
     async def _claim_orphans(self) -> None:
-        live = self.presence.list_live()
-        if self.name not in live:
-            return
-        now = self.clock()
         for job in list(self.dependencies.store.table.jobs.values()):
+            # Each claim is awaited, and owners may appear meanwhile.
+            live, now = self.presence.list_live(), self.clock()
+            if self.is_leaving or self.name not in live:
+                return
             if not self._is_orphan(job, live) or not self._should_own(job):
                 continue
             if (
--- a/buckthornstile/gateway/tests/test_job_manager.py
+++ b/buckthornstile/gateway/tests/test_job_manager.py
@@ -5,6 +5,8 @@
 from types import SimpleNamespace
 from unittest.mock import Mock
 
+import pytest
+
 from buckthornstile.base import ProcessName
 from buckthornstile.gateway._job_manager import JobManager
 
@@ -64,3 +66,19 @@
     called = setup.replace_call("end", lambda: setup.manager._runners.pop("j2"))
     asyncio.run(setup.manager._stop_withdrawn_jobs())
     assert called == ["j1"]
+
+
+@pytest.mark.parametrize("change", ["owner is back", "process leaves"])
+def test_claim_is_decided_on_what_is_known_when_it_is_sent(change: str) -> None:
+    """Jobs were claimed with a list of live processes from before other claims."""
+    setup = Setup()
+
+    def make_obsolete() -> None:
+        if change == "owner is back":
+            setup.live.append(OTHER_NAME)
+        else:
+            setup.manager.is_leaving = True
+
+    called = setup.replace_call("claim", make_obsolete)
+    asyncio.run(setup.manager._claim_orphans())
+    assert called == ["j1"]
