Change defaults of stream versions only on a recent view of the upstreams

A lease holder whose reads of the registrations hung went on to change the defaults by its last observation. A version that was absent then counted as absent for as long as the holder could not see it, and its default was retired though the version was back. Streams without a record were then refused.

Before: test_default_is_not_retired_while_the_registrations_are_not_read fails (with the former loop body behind the method that the test calls). After: it passes.

--- a/buckthornstile/gateway/_stream_defaults.py
+++ b/buckthornstile/gateway/_stream_defaults.py
@@ -117,21 +117,25 @@
         expired_at = self.clock()
         while True:
             await asyncio.sleep(OBSERVATION_INTERVAL)
-            self.observe()
-            if self.is_holder() and self.consumer.is_caught_up:
-                await self._change_defaults()
+            await self.observe_and_change()
             if self.clock() - expired_at >= EXPIRY_INTERVAL:
                 expired_at = self.clock()
                 self.table.expire(expired_at)
                 if self.is_holder():
                     await self._remove_expired_batches()
 
-    def observe(self) -> None:
-        """Records which versions are in service, if that is known."""
+    async def observe_and_change(self) -> None:
+        """Records which versions are in service, and changes defaults if due.
+
+        Does neither while the upstreams have not been read recently: a version would
+        count as absent for as long as it could not be seen.
+        """
         if self.get_view_staleness() > MAX_VIEW_STALENESS:
             return
         counts = self.count_versions(self.list_routes())
         self.observations.observe(counts, self.clock())
+        if self.is_holder() and self.consumer.is_caught_up:
+            await self._change_defaults()
 
     async def _change_defaults(self) -> None:
         changes = plan_defaults(self.table, self.observations, self.clock())
