Ignore late presence records of replaced and leaving processes

An append that the store executes late could bring a former process of a VM back: its successor, which was live, was removed from the table for up to half a second, in which others claimed its jobs and took its share of limits. A record from before a process began to leave made it a candidate for jobs again.

Cause: a record was applied without asking whether its process could still have made it. Names of processes are unique to a start, so that a name that has been replaced never comes back.

--- a/buckthornstile/gateway/_presence.py
+++ b/buckthornstile/gateway/_presence.py
@@ -108,6 +108,9 @@
     while this process itself can read: after an outage of the store, the timeout of
     every process starts again.
 
+    Records that the store appends late have no effect if their process has been
+    replaced, or has begun to leave since.
+
     Args:
         clock: Returns the time in seconds.
 
@@ -119,6 +122,7 @@
     def __init__(self, clock: Callable[[], float]) -> None:
         self.clock = clock
         self._peers: dict[ProcessName, _Peer] = {}
+        self._replaced: dict[ProcessName, float] = {}
         self._caught_up_at: float | None = None
 
     def on_caught_up(self) -> None:
@@ -135,15 +139,28 @@
     def apply(self, record: PresenceRecord) -> None:
         """Applies a record to the table."""
         now = self.clock()
+        self._forget_replaced(now)
+        if record.name in self._replaced:
+            return
+        known = self._peers.get(record.name)
+        if known is not None and known.record.is_leaving and not record.is_leaving:
+            return
         for name, peer in list(self._peers.items()):
             is_previous_process = (
                 peer.record.node == record.node and name != record.name
             )
+            if is_previous_process:
+                self._replaced[name] = now
             silence = self._get_last_read_time() - peer.last_seen_at
             if is_previous_process or silence > PEER_RETENTION_TIME:
                 del self._peers[name]
         self._peers[record.name] = _Peer(record, now)
 
+    def _forget_replaced(self, now: float) -> None:
+        for name, replaced_at in list(self._replaced.items()):
+            if now - replaced_at > PEER_RETENTION_TIME:
+                del self._replaced[name]
+
     def _get_last_read_time(self) -> float:
         """Returns the time of the last read that reached the topic's end."""
         return self.clock() if self._caught_up_at is None else self._caught_up_at
