Ignore rate records that are older than a known one of the same process

A record states ages, which count from when it is read. One that the store appended late therefore looked newest, and brought a former, higher limit of an upstream back at every entry that read it, until the next response.

Change: records carry the number of the process's records so far, and an earlier one has no effect. A record that is late but the newest of its process cannot be told apart.

--- a/buckthornstile/entry/tests/test_rate_shares.py
+++ b/buckthornstile/entry/tests/test_rate_shares.py
@@ -265,3 +265,19 @@
             whole = list_slots("u", rate, Share(0.0, 1.0), after=after, until=until)
             assert sorted(time for part in parts for time in part) == whole
             assert abs(len(whole) - rate * (until - after)) < 2
+
+
+def test_late_record_does_not_bring_a_former_limit_back() -> None:
+    """A record's ages count from when it is read, so that a late one looked newest."""
+    deployment = Deployment(2)
+    first, second = deployment.entries.values()
+    (upstream,) = deployment.upstreams
+    records = []
+    for limit in (50.0, 5.0):
+        first.record_statement(upstream, limit, sent_at=deployment.now)
+        records.append(first.make_record({"s"}))
+        deployment.now += PUBLISH_INTERVAL
+    for record in (records[1], records[0]):
+        second.apply_record(decode_rate_record(record.encode()))
+        deployment.now += READ_DELAY
+    assert second.get_limit(upstream) == 5.0
--- a/buckthornstile/gateway/_rate_limits.py
+++ b/buckthornstile/gateway/_rate_limits.py
@@ -83,6 +83,7 @@
         self._direct: set[UpstreamId] = set()
         self._slots: dict[UpstreamId, _Slots] = {}
         self._demands: dict[str, RateRecord] = {}
+        self._record_count = 0
         self._request_times: dict[ServiceName, deque[float]] = {}
         self._shares: dict[ServiceName, tuple[int, Share]] = {}
 
@@ -284,10 +285,16 @@
         if not statements and not services:
             return None
         demands = {service: self.compute_demand(service) for service in services}
-        return RateRecord(ProcessName(self.name), demands, statements)
+        self._record_count += 1
+        return RateRecord(
+            ProcessName(self.name), demands, statements, sequence=self._record_count
+        )
 
     def apply_record(self, record: RateRecord) -> None:
         """Applies the record of a process, which may be this one."""
+        known = self._demands.get(record.name)
+        if known is not None and 0 < record.sequence <= known.sequence:
+            return  # The store appended it late; its ages count from when it was made.
         self._demands[record.name] = record
         if record.name == self.name:
             return
--- a/buckthornstile/gateway/_rate_records.py
+++ b/buckthornstile/gateway/_rate_records.py
@@ -59,6 +59,7 @@
         departures: Recent statements that an upstream leaves; ``stated_at`` is the
             negated age in seconds.
         unreadable_count: Number of departures that could not be decoded.
+        sequence: Number of the process's records until this one, or 0 if unknown.
     """
 
     name: ProcessName
@@ -66,6 +67,7 @@
     statements: Mapping[UpstreamId, LimitStatement] = field(default_factory=dict)
     departures: Mapping[UpstreamId, LeavingStatement] = field(default_factory=dict)
     unreadable_count: int = 0
+    sequence: int = 0
 
     def encode(self) -> bytes:
         """Returns the record as bytes."""
@@ -78,7 +80,12 @@
             for upstream, statement in self.statements.items()
         }
         demands = {service: round(rate, 2) for service, rate in self.demands.items()}
-        data = {"name": self.name, "demands": demands, "limits": statements}
+        data: dict[str, object] = {
+            "name": self.name,
+            "demands": demands,
+            "limits": statements,
+            "sequence": self.sequence,
+        }
         if self.departures:
             data["leaving"] = {
                 upstream: [statement.started_at_ms, round(statement.stated_at, 3)]
@@ -124,6 +131,7 @@
             },
             departures,
             unreadable_count,
+            int(fields.get("sequence", 0)),
         )
     except (KeyError, TypeError, AttributeError, OverflowError) as error:
         raise ValueError(f"malformed rate record: {error}") from error
