Soak: pause the lease holder just after the store loses an answer

The existing check of the terms of reports and orders judges them. The draws of the other steps do not change.

--- a/soak/_plan.py
+++ b/soak/_plan.py
@@ -33,6 +33,8 @@
     "deadly": 11.0,
 }
 """Steps in which upstreams state something, or requests crash them."""
+HOLDER_PAUSE_SECONDS = 4.0
+"""Long enough for another entry to take the lease."""
 MAX_STATEMENT_DELAY = 2.0
 """Latest start of such a step: the entries must act on a limit 4 s after it was first
 stated, and requests are then counted over 4 s."""
@@ -59,7 +61,7 @@
     Args:
         at: Seconds after the load has started.
         kind: The kind of fault or change, a key of ``FAULT_KINDS`` or of
-            ``STATEMENT_KINDS``.
+            ``STATEMENT_KINDS``, or ``holder_pause``.
         target: Index of the target among those of its kind, modulo their number.
         seconds: Duration in seconds.
         variant: The form of the fault, if its kind has several.
@@ -138,12 +140,22 @@
         others = tuple(step for step in others if not is_disturbance(step.kind))
     steps = sorted((step, *others), key=lambda step: step.at)
     is_mixed = random.Random(f"software {plan.seed}").random() < 0.5
-    return replace(plan, steps=tuple(steps), is_mixed=is_mixed)
+    plan = replace(plan, steps=tuple(steps), is_mixed=is_mixed)
+    return _add_holder_pause(plan) if len(others) == STEP_COUNT else plan
+
+
+def _add_holder_pause(plan: FaultPlan) -> FaultPlan:
+    """Adds a pause of the lease holder that waits for a lost answer to an append."""
+    at = random.Random(f"holder {plan.seed}").uniform(FIRST_STEP_DELAY, LOAD_DURATION)
+    loss = FaultStep(round(at, 3), "store_fault", 1, 1.0, "lose_answer")
+    pause = FaultStep(round(at + 0.5, 3), "holder_pause", 0, HOLDER_PAUSE_SECONDS)
+    steps = sorted((loss, pause, *plan.steps), key=lambda step: step.at)
+    return replace(plan, steps=tuple(steps))
 
 
 def is_disturbance(kind: str) -> bool:
     """Whether steps of a kind stop entries, or keep them from the store."""
-    target, _ = FAULT_KINDS.get(kind, ("", 0.0))
+    target, _ = FAULT_KINDS.get("pause" if kind == "holder_pause" else kind, ("", 0.0))
     return target in ("entry", "store", "link") and kind != "compact"
 
 
--- a/soak/_steps.py
+++ b/soak/_steps.py
@@ -81,6 +81,8 @@
 
     async def _run_step(self, step: FaultStep) -> None:
         self.step_log.append(f"{step.at:6.2f} {step}")
+        if step.kind == "holder_pause":
+            step = replace(step, kind="pause", target=await self._find_holder())
         action = getattr(self, f"_do_{step.kind}")
         started_at = time.time()
         await action(step)
@@ -91,6 +93,13 @@
                 Disturbance(step.kind, entry, started_at, time.time())
             )
 
+    async def _find_holder(self) -> int:
+        """Returns the index of the entry that holds the lease, or 0 if none says so."""
+        name = ""
+        with contextlib.suppress(OSError):
+            name = await asyncio.to_thread(self.harness.find_lease_holder)
+        return sorted(self.harness.entries).index(name) if name else 0
+
     def _choose(self, names: list[str], step: FaultStep) -> str:
         return names[step.target % len(names)]
 
