Test of an interrupted command: start from the default handler of SIGINT

The event loop then installs no handler, the signal that the test raises is lost, and the command ends after 5 s with 0.

Change: the test sets the handler that it needs. What it checks is unchanged.

--- a/buckthornstile/commands/tests/test_commands.py
+++ b/buckthornstile/commands/tests/test_commands.py
@@ -201,6 +201,8 @@
 
 def test_interrupt_while_the_event_loop_starts_ends_the_command(monkeypatch):
     install = signal.signal
+    # The loop installs no handler where the parent process has SIGINT ignored.
+    previous_handler = install(signal.SIGINT, signal.default_int_handler)
 
     def install_and_interrupt(number, handler):
         previous = install(number, handler)
@@ -212,4 +214,7 @@
     monkeypatch.setitem(
         COMMANDS, "config show", lambda: asyncio.run(asyncio.sleep(5.0))
     )
-    assert main(["config", "show"]) == ExitCode.INTERNAL
+    try:
+        assert main(["config", "show"]) == ExitCode.INTERNAL
+    finally:
+        install(signal.SIGINT, previous_handler)
