--- a/buckthornstile/entry/tests/test_stream_incarnations.py
+++ b/buckthornstile/entry/tests/test_stream_incarnations.py
@@ -132,3 +132,16 @@
     assert await client.attempt("e1")
     check_whole([client])
     assert len(engine.list_runs()) == 1
+
+
+@with_deployment
+async def test_upstream_that_reads_its_clock_twice_is_not_taken_for_two(
+    deployment: InProcessDeployment,
+) -> None:
+    """Streams were refused if report and registration differed by milliseconds."""
+    await start_two_versions(deployment)
+    for worker in deployment.workers.values():
+        worker.state.started_at_ms -= 40
+    clients = await begin_streams(deployment, "e1", STREAM_COUNT)
+    assert all(await asyncio.gather(*(client.attempt("e2") for client in clients)))
+    check_whole(clients)
--- a/buckthornstile/gateway/_incarnation_checker.py
+++ b/buckthornstile/gateway/_incarnation_checker.py
@@ -11,7 +11,9 @@
 
 CHECK_TIMEOUT = 0.3
 """Seconds for one request of a report. Reports need no slot."""
-
+MAX_START_DIFFERENCE_MS = 1000
+"""Milliseconds by which two statements of one start may differ: an upstream may read
+its clock for each of them, while two starts are further apart."""
 MAX_REPLACED = 1000
 """Number of replaced incarnations that are remembered; the oldest are dropped."""
 
@@ -66,7 +68,8 @@
             return self._record_replaced(upstream, None)
         if not (reported.started_at_ms and upstream.started_at_ms):
             return IncarnationState.NOT_STATED
-        if reported.started_at_ms != upstream.started_at_ms:
+        difference = abs(reported.started_at_ms - upstream.started_at_ms)
+        if difference > MAX_START_DIFFERENCE_MS:
             return self._record_replaced(upstream, reported.started_at_ms)
         return IncarnationState.LISTED
 
