--- a/buckthornstile/entry/tests/test_leaving_exchange.py
+++ b/buckthornstile/entry/tests/test_leaving_exchange.py
@@ -216,7 +216,7 @@
     deployment: InProcessDeployment,
 ) -> None:
     """One malformed record or departure must not stop the reader of the topic."""
-    deployment.add_worker("w1", PLAIN_SERVICE)
+    started_at_ms = deployment.add_worker("w1", PLAIN_SERVICE).state.started_at_ms
     entry = await deployment.add_entry("e1")
     records = [
         {"name": "x", "demands": {}, "limits": {}, "leaving": {"w9": 5}},
@@ -225,7 +225,7 @@
             "name": "x",
             "demands": {},
             "limits": {},
-            "leaving": {"w9": [1], "w1": [1, -0.2]},
+            "leaving": {"w9": [1], "w1": [started_at_ms, -0.2]},
         },
     ]
     partition = deployment.topic_store.get("presence", 0)
