Soak: run no lot while all entries are down

The load of kept connections already waits in that case.

Change: the load of lots waits too. That a client without entries fails with an IndexError instead of an error of its own is unchanged.

--- a/soak/_load.py
+++ b/soak/_load.py
@@ -55,6 +55,10 @@
     async def _run_lots(self, stop_event: asyncio.Event) -> None:
         number = 0
         while not stop_event.is_set():
+            if not self.harness.entry_urls:
+                # All entries are down at the moment, and a client needs one.
+                await asyncio.sleep(LOT_INTERVAL)
+                continue
             lot = make_lot(f"lot-{number}", groups=2, samples=4, maximum_age=2)
             lot = lot.model_copy(
                 update={"version": self.deployment.version, "timeout": 12.0}
