Soak: restart workers that the last deadly requests have crashed

Both of its workers had exited: the step that sends deadly requests restarts crashed workers only while it sends more of them, and the last requests crash some after that.

Change: the step looks for crashed workers once more after its last request has ended.

--- a/soak/_steps.py
+++ b/soak/_steps.py
@@ -221,13 +221,17 @@
                 for url in self.harness.entry_urls:
                     group.create_task(self._send_deadly_request(url))
                 await asyncio.sleep(DEADLY_INTERVAL)
-                for name, worker in self.harness.workers.items():
-                    if not worker.is_running and name not in self.restarting:
-                        self.restarting.add(name)
-                        self.harness.save_final_journal(name)
-                        group.create_task(
-                            self._restart_worker(name, CRASH_RESTART_DELAY)
-                        )
+                self._restart_crashed_workers(group)
+        # The last requests may have crashed workers too.
+        async with asyncio.TaskGroup() as group:
+            self._restart_crashed_workers(group)
+
+    def _restart_crashed_workers(self, group: asyncio.TaskGroup) -> None:
+        for name, worker in self.harness.workers.items():
+            if not worker.is_running and name not in self.restarting:
+                self.restarting.add(name)
+                self.harness.save_final_journal(name)
+                group.create_task(self._restart_worker(name, CRASH_RESTART_DELAY))
 
     async def _send_deadly_request(self, url: str) -> None:
         caller = self.harness.make_caller(entries=[url], attempts=1)
