--- a/review/harness3/deployment.py
+++ b/review/harness3/deployment.py
@@ -7,6 +7,7 @@
 import asyncio
 import json
 import os
+import shutil
 import signal
 import socket
 import struct
@@ -166,13 +167,14 @@
         return entry
 
     def close(self):
-        """Ends all processes that were started."""
+        """Ends all processes that were started, and removes their files."""
         for process in self.processes:
             if process.poll() is None:
                 process.send_signal(signal.SIGCONT)
                 process.kill()
         for process in self.processes:
             process.wait()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 class Entry:
@@ -208,13 +210,13 @@
             await asyncio.sleep(0.1)
 
     def read_memory_mb(self):
-        """Returns the resident memory of the process, or 0 if it has ended."""
+        """Returns the peak of the resident memory of the process, or 0 if it ended."""
         try:
             status = Path(f"/proc/{self.process.pid}/status").read_text()
         except OSError:
             return 0.0
         for line in status.splitlines():
-            if line.startswith("VmRSS:"):
+            if line.startswith("VmHWM:"):
                 return int(line.split()[1]) / 1024
         return 0.0
 
@@ -293,6 +295,8 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(folder)
     site = Site(record)
+    # Otherwise the processes would outlive a case that is stopped.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     code = 2
     try:
         code = asyncio.run(_limit(play(site, record, trouble)))
