Handle forwarded requests under the newer configuration of two entries

Cause: an entry that does not consume a job's partition forwards the request to one that does, which looked the key up once more in its own configuration. Its decision was passed on, whatever the first entry had decided.

Change: the forwarded request states the account and the version of the configuration; the responder decides itself if its version is as new and else takes the stated account. Its own age limit bounds the decision: a change that neither entry knows is more recent than its latest read. The response states what it was decided on, and is checked when it arrives. An entry of an earlier release states nothing: its requests wait for a read that is sent when they arrive, and its responses are used only long after the last change.

--- a/buckthornstile/base/_errors.py
+++ b/buckthornstile/base/_errors.py
@@ -44,6 +44,8 @@
     # Processes
     CONFIGURATION_OLD = "process.configuration_old"
     CONFIGURATION_MISSING = "process.configuration_missing"
+    # The key has been assigned to another account while the request waited.
+    CONFIGURATION_CHANGED = "process.configuration_changed"
     # It is not known whether the job of an item still runs in this process.
     JOB_UNVERIFIED = "process.job_unverified"
     DRAINING = "process.draining"
--- a/buckthornstile/entry/_daemon.py
+++ b/buckthornstile/entry/_daemon.py
@@ -48,6 +48,7 @@
     JobDependencies,
     JobFreshness,
     JobManager,
+    KeyChecker,
     PartitionAssignment,
     PeerClient,
     RateRecord,
@@ -323,12 +324,15 @@
                 sender=self.sender,
                 stream_proxy=self.stream_proxy,
                 job_store=self.job_store,
-                clock=self.clock,
                 wall_clock=self.get_wall_time,
                 metrics=self.metrics,
                 choose_first_owner=self.job_manager.choose_first_owner,
-                key_bound=settings.key_bound,
-                fails_closed=settings.fails_closed,
+                key_checker=KeyChecker(
+                    self.topology_watcher,
+                    clock=self.clock,
+                    key_bound=settings.key_bound,
+                    fails_closed=settings.fails_closed,
+                ),
                 max_job_bytes=settings.max_client_bytes // JOB_MEMORY_DIVISOR,
                 peer_client=PeerClient(
                     self.name, self.assignment, self.presence, self.pool
--- a/buckthornstile/gateway/__init__.py
+++ b/buckthornstile/gateway/__init__.py
@@ -7,7 +7,6 @@
 from buckthornstile.gateway._crash_log import CrashLog
 from buckthornstile.gateway._engine_shares import EngineShares
 from buckthornstile.gateway._handlers import (
-    KEY_BOUND_FRACTION,
     ClientHandlers,
     HandlerDependencies,
     make_error_response,
@@ -21,6 +20,7 @@
 from buckthornstile.gateway._job_freshness import JobFreshness
 from buckthornstile.gateway._job_manager import JobManager
 from buckthornstile.gateway._job_store import END_BOUND_FRACTION, JobStore
+from buckthornstile.gateway._key_checks import KEY_BOUND_FRACTION, KeyChecker
 from buckthornstile.gateway._lease_holder_tasks import LeaseHolderTasks
 from buckthornstile.gateway._lease_manager import LeaseManager
 from buckthornstile.gateway._load_balancer import LoadBalancer
@@ -52,6 +52,7 @@
 __all__ = [
     "END_BOUND_FRACTION",
     "KEY_BOUND_FRACTION",
+    "KeyChecker",
     "PRESENCE_INTERVAL",
     "PRESENCE_TOPIC",
     "AdmissionGate",
--- a/buckthornstile/gateway/_handlers.py
+++ b/buckthornstile/gateway/_handlers.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 from collections.abc import Callable, Coroutine
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 from urllib.parse import parse_qs
 
@@ -18,6 +18,7 @@
 )
 from buckthornstile.gateway._call_sender import CallSender
 from buckthornstile.gateway._job_store import JobStore
+from buckthornstile.gateway._key_checks import KeyChecker, RequestKey
 from buckthornstile.gateway._metrics import GatewayMetrics
 from buckthornstile.gateway._peer_client import PeerClient
 from buckthornstile.gateway._stream_proxy import StreamProxy
@@ -26,16 +27,21 @@
 from buckthornstile.logs import log_event
 from buckthornstile.messages import (
     ClientRequest,
+    KeyDecision,
     Response,
     RoutedCall,
     StreamingResponse,
 )
-from buckthornstile.platform import ResourceKind, decode_job, encode_results, parse_path
-from buckthornstile.topology import PlatformAccount, Route, RouteKind, TopologyView
+from buckthornstile.platform import (
+    ResourceKind,
+    decode_job,
+    decode_key_decision,
+    encode_key_decision,
+    encode_results,
+    parse_path,
+)
+from buckthornstile.topology import Route, RouteKind, TopologyView
 
-KEY_BOUND_FRACTION = 0.9
-"""Fraction of ``key_bound`` that the configuration's age may reach before keys are
-refused."""
 RETRY_AFTER_SECONDS = 0.1
 """Seconds after which a client may retry a request that was not run."""
 MEMORY_RETRY_AFTER_SECONDS = 1.0
@@ -43,9 +49,14 @@
 CATCH_UP_TIMEOUT = 0.6
 """Seconds in which this process must read the store's latest records before it reports
 a job as unknown."""
+UNSTATED_READ_TIMEOUT = 0.5
+"""Seconds in which this process must read the operators' latest records before it
+responds to an entry of an earlier release, which does not state its configuration."""
 MAX_RESULT_STALENESS = 1.2
 """Seconds since the last read that reached the end of a job's partition, after which
 the job may have results that this process does not know."""
+NO_ACCOUNT = AccountId("")
+"""Account of the jobs of a configuration without client accounts."""
 ANONYMOUS_ACCOUNT = AccountId("open")
 """Account under which metrics count the callers of routes that need no key."""
 DEFAULT_TIMEOUT = 10.0
@@ -65,14 +76,11 @@
         sender: Sends calls to upstreams.
         stream_proxy: Opens streams at upstreams.
         job_store: The batch jobs.
-        clock: Returns the time in seconds; it must advance while the VM is suspended.
         wall_clock: Returns the seconds since the epoch.
         metrics: Records the latencies of calls.
         choose_first_owner: Returns the process that runs a new job first.
         peer_client: Forwards requests to other entries.
-        key_bound: Seconds within which a withdrawn key must stop working.
-        fails_closed: Whether all keys are refused while the configuration is too old
-            (``KEY_BOUND_FRACTION``).
+        key_checker: Looks up API keys.
         max_job_bytes: Maximum size of the bodies of unfinished jobs, in bytes; a single
             job may exceed it.
     """
@@ -82,13 +90,11 @@
     sender: CallSender
     stream_proxy: StreamProxy
     job_store: JobStore
-    clock: Callable[[], float]
     wall_clock: Callable[[], float]
     metrics: GatewayMetrics
     choose_first_owner: Callable[[JobSpecification], ProcessName]
     peer_client: PeerClient
-    key_bound: float
-    fails_closed: bool
+    key_checker: KeyChecker
     max_job_bytes: int
 
 
@@ -105,8 +111,15 @@
     async def handle_forwarded(
         self, request: ClientRequest
     ) -> Response | StreamingResponse:
-        """Handles a request about a job that another entry forwarded."""
-        return await self._respond(request, self._serve_job(request))
+        """Handles a request about a job that another entry forwarded.
+
+        The response states what this process has decided about the key.
+        """
+        stated = decode_key_decision(request.headers)
+        key = self._make_request_key(request, stated=stated)
+        response = await self._respond(request, self._serve_forwarded(request, key))
+        headers = encode_key_decision(key.get_outcome())
+        return replace(response, headers=(*response.headers, *headers))
 
     async def _respond(
         self,
@@ -139,20 +152,16 @@
         if resource_kind in (ResourceKind.JOB, ResourceKind.ITEM):
             return await self._serve_or_forward(request)
         route = self._find_route(request)
-        account = self._authenticate(request, route.allows_anonymous)
+        key = self._make_request_key(request, allows_anonymous=route.allows_anonymous)
+        account = key.check().account
         if route.kind is RouteKind.ROLLOUT:
             return await self._submit(request, route, account)
-        return await self._call(request, route, account)
+        return await self._call(request, route, account, key)
 
     # Routing and authentication
 
     def _find_route(self, request: ClientRequest) -> Route:
-        if self.dependencies.view.configuration is None:
-            raise BuckthornstileError(
-                ErrorCode.CONFIGURATION_MISSING,
-                "no configuration has been loaded yet",
-                retry_after=RETRY_AFTER_SECONDS,
-            )
+        self.dependencies.key_checker.get_configuration()
         route = self.dependencies.view.find_route(request.host, request.path)
         if route is None or not route.services:
             raise BuckthornstileError(
@@ -160,42 +169,28 @@
             )
         return route
 
-    def _authenticate(
-        self, request: ClientRequest, allows_anonymous: bool = False
-    ) -> PlatformAccount | None:
-        view = self.dependencies.view
-        configuration = view.configuration
-        if configuration is None:
-            raise BuckthornstileError(
-                ErrorCode.CONFIGURATION_MISSING,
-                "no configuration has been loaded yet",
-                retry_after=RETRY_AFTER_SECONDS,
-            )
-        if allows_anonymous or not configuration.accounts:
-            return None
-        staleness = self.dependencies.topology_watcher.operator_consumer.get_staleness()
-        if (
-            self.dependencies.fails_closed
-            and staleness > KEY_BOUND_FRACTION * self.dependencies.key_bound
-        ):
-            raise BuckthornstileError(
-                ErrorCode.CONFIGURATION_OLD,
-                f"the configuration is {staleness:.1f} s old, too old to accept a key",
-                retry_after=RETRY_AFTER_SECONDS,
-            )
-        if not request.key:
-            raise BuckthornstileError(
-                ErrorCode.KEY_MISSING, "the request has no API key"
-            )
-        account = view.find_account(request.key)
-        if account is None:
-            raise BuckthornstileError(ErrorCode.KEY_UNKNOWN, "the API key is unknown")
-        return account
+    def _make_request_key(
+        self,
+        request: ClientRequest,
+        *,
+        allows_anonymous: bool = False,
+        stated: KeyDecision | None = None,
+    ) -> RequestKey:
+        return RequestKey(
+            self.dependencies.key_checker,
+            request.key,
+            allows_anonymous=allows_anonymous,
+            stated=stated,
+        )
 
     # Calls
 
     async def _call(
-        self, request: ClientRequest, route: Route, account: PlatformAccount | None
+        self,
+        request: ClientRequest,
+        route: Route,
+        account: AccountId | None,
+        key: RequestKey,
     ) -> Response | StreamingResponse:
         if not request.id:
             raise BuckthornstileError(ErrorCode.HEADER_INVALID, "the request has no id")
@@ -214,18 +209,16 @@
         call = RoutedCall(
             request,
             route,
-            account.name if account else None,
+            account,
             started_at + timeout,
-            check_after_wait=lambda: self._authenticate(
-                request, route.allows_anonymous
-            ),
+            check_after_wait=key.check,
             may_be_resumed=route.is_streaming and route.is_resumable,
         )
         if route.is_streaming:
             return await self.dependencies.stream_proxy.open(call)
         upstream_response = await self.dependencies.sender.send(call)
         self.dependencies.metrics.record_call(
-            account.name if account else ANONYMOUS_ACCOUNT, loop.time() - started_at
+            account or ANONYMOUS_ACCOUNT, loop.time() - started_at
         )
         log_event(
             "call.answered",
@@ -244,9 +237,9 @@
     # Batch jobs
 
     async def _submit(
-        self, request: ClientRequest, route: Route, account: PlatformAccount | None
+        self, request: ClientRequest, route: Route, account: AccountId | None
     ) -> Response:
-        account_id = _get_account_id(account)
+        account_id = account or NO_ACCOUNT
         existing = self.dependencies.job_store.table.find(JobId(request.id))
         if existing is not None and existing.specification.account == account_id:
             return Response(202)
@@ -293,17 +286,30 @@
 
     async def _serve_or_forward(self, request: ClientRequest) -> Response:
         """Handles a request about a job, or forwards it to an assigned entry."""
-        job_store = self.dependencies.job_store
-        part = job_store.find_partition(_get_account_id(self._authenticate(request)))
+        key = self._make_request_key(request)
+        decision = key.check()
+        part = self._find_partition(decision)
         if self._can_serve(request, part):
-            return await self._serve_job(request)
+            return await self._serve_job(request, key)
         try:
-            return await self.dependencies.peer_client.forward(request, part)
+            answer = await self.dependencies.peer_client.forward(
+                request,
+                part,
+                decision,
+                accepts_unstated=self.dependencies.key_checker.is_known_to_all(),
+            )
         except BuckthornstileError:
             # This process starts to consume the partition, so that it can serve the
             # client's retry itself.
-            job_store.request_partition(part)
+            self.dependencies.job_store.request_partition(part)
             raise
+        key.confirm(answer.outcome)
+        return answer.response
+
+    def _find_partition(self, decision: KeyDecision) -> int:
+        return self.dependencies.job_store.find_partition(
+            decision.account or NO_ACCOUNT
+        )
 
     def _can_serve(self, request: ClientRequest, part: int) -> bool:
         """Whether this process can handle a request about a job of a partition.
@@ -317,10 +323,30 @@
         is_end = request.method == "DELETE" and resource_kind is ResourceKind.JOB
         return is_end and job_store.table.find(JobId(name)) is not None
 
-    async def _serve_job(self, request: ClientRequest) -> Response:
-        account = self._authenticate(request)
-        part = self.dependencies.job_store.find_partition(_get_account_id(account))
-        if not self._can_serve(request, part):
+    async def _serve_forwarded(
+        self, request: ClientRequest, key: RequestKey
+    ) -> Response:
+        """Handles a forwarded request under a configuration that is recent enough.
+
+        A read that is sent now returns whatever an entry of an earlier release, which
+        states no decision, had read when it forwarded the request.
+
+        Raises:
+            BuckthornstileError: The request is refused.
+        """
+        consumer = self.dependencies.topology_watcher.operator_consumer
+        if key.stated is None and not await consumer.wait_until_synced(
+            UNSTATED_READ_TIMEOUT
+        ):
+            raise BuckthornstileError(
+                ErrorCode.CONFIGURATION_OLD,
+                "the store could not be read to check the API key",
+                retry_after=RETRY_AFTER_SECONDS,
+            )
+        return await self._serve_job(request, key)
+
+    async def _serve_job(self, request: ClientRequest, key: RequestKey) -> Response:
+        if not self._can_serve(request, self._find_partition(key.check())):
             raise BuckthornstileError(
                 ErrorCode.PLATFORM_UNAVAILABLE,
                 "this process does not consume the job's partition",
@@ -328,24 +354,24 @@
             )
         resource_kind, name = parse_path(request.path)
         if resource_kind is ResourceKind.ITEM:
-            return await self._read_item(request, JobId(name), account)
+            return await self._read_item(request, JobId(name), key)
         if resource_kind is ResourceKind.JOB:
-            return await self._handle_job(request, JobId(name), account)
+            return await self._handle_job(request, JobId(name), key)
         raise BuckthornstileError(
             ErrorCode.ROUTE_UNKNOWN, f"path {request.path[:60]!r} does not name a job"
         )
 
     async def _handle_job(
-        self, request: ClientRequest, job_id: JobId, account: PlatformAccount | None
+        self, request: ClientRequest, job_id: JobId, key: RequestKey
     ) -> Response:
         if request.method == "DELETE":
-            return await self._end_job(job_id, account)
+            return await self._end_job(job_id, key)
         if request.method != "GET":
             raise BuckthornstileError(
                 ErrorCode.HEADER_INVALID, f"method {request.method!r} is not allowed"
             )
         start = _parse_position(request)
-        job = await self._find_job(job_id, account)
+        job = await self._find_job(job_id, key)
         if start >= len(job.results) and not job.is_finished():
             await self._wait_for_result(job, start, request.wait)
         total = len(job.items)
@@ -355,9 +381,9 @@
         return Response(200, body, (("Content-Type", "application/json"),))
 
     async def _read_item(
-        self, request: ClientRequest, job_id: JobId, account: PlatformAccount | None
+        self, request: ClientRequest, job_id: JobId, key: RequestKey
     ) -> Response:
-        job = await self._find_job(job_id, account)
+        job = await self._find_job(job_id, key)
         item_ids = parse_qs(request.query).get("id", [""])
         for item in job.iterate_pending_items():
             if item.id == item_ids[0] and not job.ended:
@@ -366,20 +392,19 @@
             ErrorCode.LOT_UNKNOWN, f"job {job_id!r} has no open item {item_ids[0]!r}"
         )
 
-    async def _end_job(
-        self, job_id: JobId, account: PlatformAccount | None
-    ) -> Response:
-        job = await self._find_job(job_id, account)
+    async def _end_job(self, job_id: JobId, key: RequestKey) -> Response:
+        job = await self._find_job(job_id, key)
         if not job.ended:
             await self.dependencies.job_store.end(job)
             log_event("job.ended", job=job_id, listed=len(job.results))
         return Response(200)
 
-    async def _find_job(self, job_id: JobId, account: PlatformAccount | None) -> Job:
+    async def _find_job(self, job_id: JobId, key: RequestKey) -> Job:
         table = self.dependencies.job_store.table
+        decision = key.check()
         job = table.find(job_id)
         if job is None:
-            part = self.dependencies.job_store.find_partition(_get_account_id(account))
+            part = self._find_partition(decision)
             consumer = self.dependencies.job_store.consumers[part]
             if not await consumer.wait_until_synced(CATCH_UP_TIMEOUT):
                 raise BuckthornstileError(
@@ -388,8 +413,8 @@
                     retry_after=RETRY_AFTER_SECONDS,
                 )
             job = table.find(job_id)
-        account_id = _get_account_id(account)
-        if job is None or job.specification.account != account_id:
+        account = decision.account or NO_ACCOUNT
+        if job is None or job.specification.account != account:
             raise BuckthornstileError(
                 ErrorCode.LOT_UNKNOWN, f"job {job_id!r} does not exist"
             )
@@ -438,10 +463,6 @@
     return Response(status, body, (("Content-Type", "text/plain"),), error.retry_after)
 
 
-def _get_account_id(account: PlatformAccount | None) -> AccountId:
-    return account.name if account else AccountId("")
-
-
 def _parse_position(request: ClientRequest) -> int:
     value = parse_qs(request.query).get("after", ["0"])[0]
     position = parse_integer(value)
--- /dev/null
+++ b/buckthornstile/gateway/_key_checks.py
@@ -0,0 +1,213 @@
+"""Decides for which client account a request is handled.
+
+Two entries may take part in a request about a job: the one that the client asks, and
+one that it forwards the request to. Either may have the older configuration. The
+request is handled under the newer of the two, and the key is checked again after each
+wait.
+"""
+
+from collections.abc import Callable
+
+from buckthornstile.base import AccountId, BuckthornstileError, ErrorCode
+from buckthornstile.gateway._topology_watcher import TopologyWatcher
+from buckthornstile.logs import log_event
+from buckthornstile.messages import KeyDecision
+from buckthornstile.topology import PlatformConfiguration
+
+KEY_BOUND_FRACTION = 0.9
+"""Fraction of ``key_bound`` that the configuration's age may reach before keys are
+refused."""
+NO_VERSION = -1
+"""Stands for the version of the configuration where none has been loaded."""
+RETRY_AFTER_SECONDS = 0.1
+"""Seconds after which a client may retry a request whose key could not be checked."""
+
+
+class KeyChecker:
+    """Looks up API keys in the configuration in effect.
+
+    Args:
+        topology_watcher: Keeps the configuration up to date.
+        clock: Returns the time in seconds; it must advance while the VM is suspended.
+        key_bound: Seconds within which a withdrawn key must stop working.
+        fails_closed: Whether all keys are refused while the configuration is too old
+            (``KEY_BOUND_FRACTION``).
+    """
+
+    def __init__(
+        self,
+        topology_watcher: TopologyWatcher,
+        *,
+        clock: Callable[[], float],
+        key_bound: float,
+        fails_closed: bool,
+    ) -> None:
+        self.topology_watcher = topology_watcher
+        self.clock = clock
+        self.key_bound = key_bound
+        self.fails_closed = fails_closed
+
+    def get_configuration(self) -> PlatformConfiguration:
+        """Returns the configuration in effect.
+
+        Raises:
+            BuckthornstileError: ``CONFIGURATION_MISSING``.
+        """
+        configuration = self.topology_watcher.view.configuration
+        if configuration is None:
+            raise BuckthornstileError(
+                ErrorCode.CONFIGURATION_MISSING,
+                "no configuration has been loaded yet",
+                retry_after=RETRY_AFTER_SECONDS,
+            )
+        return configuration
+
+    def find_account(
+        self, key: str | None, *, allows_anonymous: bool = False
+    ) -> AccountId | None:
+        """Returns the client account of a key, or None if no key is needed.
+
+        Args:
+            key: The API key of a request, or None if it has none.
+            allows_anonymous: Whether the request needs no key.
+
+        Raises:
+            BuckthornstileError: The key is missing or unknown, or the configuration is
+                missing or too old.
+        """
+        configuration = self.get_configuration()
+        if allows_anonymous or not configuration.accounts:
+            return None
+        self.check_age()
+        if not key:
+            raise BuckthornstileError(
+                ErrorCode.KEY_MISSING, "the request has no API key"
+            )
+        account = self.topology_watcher.view.find_account(key)
+        if account is None:
+            raise BuckthornstileError(ErrorCode.KEY_UNKNOWN, "the API key is unknown")
+        return account.name
+
+    def check_age(self) -> None:
+        """Checks that the configuration is recent enough to rely on its keys.
+
+        Raises:
+            BuckthornstileError: ``CONFIGURATION_OLD``.
+        """
+        age = self.topology_watcher.operator_consumer.get_staleness()
+        if self.fails_closed and age > KEY_BOUND_FRACTION * self.key_bound:
+            raise BuckthornstileError(
+                ErrorCode.CONFIGURATION_OLD,
+                f"the configuration is {age:.1f} s old, too old to accept a key",
+                retry_after=RETRY_AFTER_SECONDS,
+            )
+
+    def is_known_to_all(self) -> bool:
+        """Whether each entry that accepts keys now has this configuration or a newer.
+
+        The age limit for keys bounds how far another entry may be behind.
+        """
+        age = self.clock() - self.topology_watcher.configuration_applied_at
+        return self.fails_closed and age > KEY_BOUND_FRACTION * self.key_bound
+
+
+class RequestKey:
+    """The API key of one request, which is checked again after each wait.
+
+    Args:
+        checker: Looks up the key.
+        key: The API key, or None if the request has none.
+        allows_anonymous: Whether the request needs no key.
+        stated: What the entry that forwarded the request has decided, or None.
+    """
+
+    def __init__(
+        self,
+        checker: KeyChecker,
+        key: str | None,
+        *,
+        allows_anonymous: bool = False,
+        stated: KeyDecision | None = None,
+    ) -> None:
+        self.checker = checker
+        self.key = key
+        self.allows_anonymous = allows_anonymous
+        self.stated = stated
+        self.decision: KeyDecision | None = None
+        self._is_stated_logged = False
+
+    def check(self) -> KeyDecision:
+        """Decides for which client account the request is handled from now on.
+
+        Raises:
+            BuckthornstileError: The key is missing or unknown, or the configuration is
+                missing or too old; ``CONFIGURATION_CHANGED`` if the key belongs to
+                another account than at the last check.
+        """
+        previous, self.decision = self.decision, None
+        decision = self._decide()
+        if previous is not None and previous.account != decision.account:
+            raise _make_changed_error()
+        self.decision = decision
+        return decision
+
+    def _decide(self) -> KeyDecision:
+        version = self.checker.get_configuration().version
+        if self.stated is not None and self.stated.version > version:
+            # A change that neither entry knows of is more recent than the latest read
+            # of this process, so that the age limit holds for the other's decision.
+            self.checker.check_age()
+            self._log_stated_decision(self.stated.version, version)
+            return self.stated
+        account = self.checker.find_account(
+            self.key, allows_anonymous=self.allows_anonymous
+        )
+        return KeyDecision(account, version)
+
+    def _log_stated_decision(self, stated_version: int, version: int) -> None:
+        if self._is_stated_logged:
+            return
+        self._is_stated_logged = True
+        log_event(
+            "key.decided_by_peer",
+            version=stated_version,
+            own_version=version,
+            age=self.checker.topology_watcher.operator_consumer.get_staleness(),
+        )
+
+    def get_outcome(self) -> KeyDecision:
+        """Returns the latest decision, without an account if the key was refused."""
+        if self.decision is not None:
+            return self.decision
+        configuration = self.checker.topology_watcher.view.configuration
+        version = configuration.version if configuration else NO_VERSION
+        if self.stated is not None:
+            version = max(version, self.stated.version)
+        return KeyDecision(None, version)
+
+    def confirm(self, outcome: KeyDecision | None) -> None:
+        """Checks that a response of another entry may be passed on to the client.
+
+        Args:
+            outcome: What the other entry has decided, or None if it stated nothing.
+
+        Raises:
+            BuckthornstileError: The key is no longer valid, or the response was made
+                under an older configuration that decides otherwise.
+        """
+        configuration = self.checker.get_configuration()
+        if outcome is not None and outcome.version >= configuration.version:
+            if configuration.accounts:
+                self.checker.check_age()
+            return
+        decision = self.check()
+        if outcome is not None and outcome.account != decision.account:
+            raise _make_changed_error()
+
+
+def _make_changed_error() -> BuckthornstileError:
+    return BuckthornstileError(
+        ErrorCode.CONFIGURATION_CHANGED,
+        "the API key was assigned to another client account during the request",
+        retry_after=RETRY_AFTER_SECONDS,
+    )
--- a/buckthornstile/gateway/_peer_client.py
+++ b/buckthornstile/gateway/_peer_client.py
@@ -1,15 +1,17 @@
 """Forwards requests about a job to the entries assigned to the job's partition."""
 
 import asyncio
+from dataclasses import dataclass
 
 from buckthornstile.base import BuckthornstileError, ErrorCode, ProcessName
 from buckthornstile.gateway._partition_assignment import PartitionAssignment
 from buckthornstile.gateway._presence import PresenceTable
 from buckthornstile.http_client import ConnectionPool
 from buckthornstile.logs import log_event
-from buckthornstile.messages import ClientRequest, Response
+from buckthornstile.messages import ClientRequest, KeyDecision, Response
 from buckthornstile.platform import (
     decode_forwarded_response,
+    decode_key_decision,
     decode_responder,
     encode_forwarded_request,
 )
@@ -22,6 +24,19 @@
 """Seconds after which a client may retry a request that no peer responded to."""
 
 
+@dataclass(frozen=True, slots=True)
+class PeerResponse:
+    """The response of another entry, and what it has decided about the key.
+
+    Attributes:
+        response: The response for the client.
+        outcome: The decision, or None if the entry stated none.
+    """
+
+    response: Response
+    outcome: KeyDecision | None
+
+
 class PeerClient:
     """Forwards clients' requests about jobs to other entries.
 
@@ -44,12 +59,22 @@
         self.presence = presence
         self.pool = pool
 
-    async def forward(self, request: ClientRequest, part: int) -> Response:
+    async def forward(
+        self,
+        request: ClientRequest,
+        part: int,
+        decision: KeyDecision,
+        *,
+        accepts_unstated: bool,
+    ) -> PeerResponse:
         """Forwards a request to one peer after another until one responds.
 
         Args:
             request: An idempotent request, as it may be sent to several peers.
             part: The partition of the job.
+            decision: What this process has decided about the key of the request.
+            accepts_unstated: Whether a response without the peer's decision may be
+                used.
 
         Raises:
             BuckthornstileError: No peer returned a response.
@@ -64,20 +89,35 @@
             try:
                 async with asyncio.timeout(FORWARD_TIMEOUT + request.wait):
                     response = await self.pool.send(
-                        address, encode_forwarded_request(request)
+                        address, encode_forwarded_request(request, decision)
                     )
                 # The address of an entry that has ended may be in use again.
                 if decode_responder(response) != peer:
                     raise BuckthornstileError(
                         ErrorCode.ANSWER_CROSSED, f"{address} is not entry {peer!r}"
                     )
+                outcome = decode_key_decision(tuple(response.headers.get_all()))
+                if outcome is None and not accepts_unstated:
+                    raise BuckthornstileError(
+                        ErrorCode.CONFIGURATION_OLD,
+                        f"entry {peer!r} may have an older configuration",
+                    )
             except (TimeoutError, BuckthornstileError) as error:
                 log_event(
                     "peer.failed", request=request.id, peer=peer, reason=repr(error)
                 )
                 self.pool.close_idle(address)
                 continue
-            return decode_forwarded_response(response)
+            if response.status != 200:
+                log_event(
+                    "peer.refused",
+                    request=request.id,
+                    peer=peer,
+                    status=response.status,
+                    version=outcome.version if outcome is not None else None,
+                    own_version=decision.version,
+                )
+            return PeerResponse(decode_forwarded_response(response), outcome)
         raise BuckthornstileError(
             ErrorCode.PLATFORM_UNAVAILABLE,
             f"none of {len(peers[:MAX_PEER_ATTEMPTS])} entries assigned to the job's "
--- a/buckthornstile/gateway/_topology_watcher.py
+++ b/buckthornstile/gateway/_topology_watcher.py
@@ -38,6 +38,9 @@
 class TopologyWatcher:
     """Keeps a topology view up to date.
 
+    ``configuration_applied_at`` is the time at which the configuration in effect was
+    read.
+
     Args:
         store: The store.
         view: The view that is updated.
@@ -60,6 +63,7 @@
         self.view = view
         self.clock = clock
         self.on_change = on_change
+        self.configuration_applied_at = clock()
         self._grace_until = 0.0
         self.operator_consumer = PartitionConsumer(
             store,
@@ -125,6 +129,7 @@
         elif key == CONFIGURATION_KEY and value is not None:
             configuration = decode_configuration(value)
             if self.view.apply_configuration(configuration):
+                self.configuration_applied_at = self.clock()
                 log_event(
                     "configuration.applied",
                     version=configuration.version,
--- a/buckthornstile/messages/_types.py
+++ b/buckthornstile/messages/_types.py
@@ -41,6 +41,19 @@
         return f"{self.path}?{self.query}" if self.query else self.path
 
 
+@dataclass(frozen=True, slots=True)
+class KeyDecision:
+    """The client account that the key of a request stands for.
+
+    Attributes:
+        account: The client account, or None if no key is needed or the key was refused.
+        version: Version of the configuration under which this was decided.
+    """
+
+    account: AccountId | None
+    version: int
+
+
 @dataclass(frozen=True, slots=True)
 class Response:
     """A response to a client; ``retry_after`` is in seconds."""
--- a/buckthornstile/platform/_protocol_names.py
+++ b/buckthornstile/platform/_protocol_names.py
@@ -26,6 +26,10 @@
 VERSIONS_HEADER = "Weight-Versions"
 RETRY_AFTER_HEADER = "Retry-After"
 
+# Headers between entries, which are this project's own
+CHECKED_ACCOUNT_HEADER = "Checked-Account"
+CHECKED_VERSION_HEADER = "Checked-Configuration"
+
 # Headers of requests to the platform
 DUTY_HOLDER_HEADER = "Duty-Holder"
 DUTY_TERM_HEADER = "Fencing-Token"
--- a/buckthornstile/platform/_requests.py
+++ b/buckthornstile/platform/_requests.py
@@ -2,14 +2,23 @@
 
 from dataclasses import replace
 from enum import Enum
+from urllib.parse import quote, unquote
 
 from tornado.httputil import HTTPHeaders
 
-from buckthornstile.base import ProcessName, parse_integer
+from buckthornstile.base import AccountId, ProcessName, parse_integer
 from buckthornstile.http_client import HTTPRequest, HTTPResponse
-from buckthornstile.messages import ClientRequest, Headers, Response, StreamingResponse
+from buckthornstile.messages import (
+    ClientRequest,
+    Headers,
+    KeyDecision,
+    Response,
+    StreamingResponse,
+)
 from buckthornstile.platform._protocol_names import (
     API_KEY_HEADER,
+    CHECKED_ACCOUNT_HEADER,
+    CHECKED_VERSION_HEADER,
     CONNECTION_HEADERS,
     DEADLINE_HEADER,
     INTERNAL_HEADERS,
@@ -78,9 +87,12 @@
     )
 
 
-def encode_forwarded_request(request: ClientRequest) -> HTTPRequest:
+def encode_forwarded_request(
+    request: ClientRequest, decision: KeyDecision
+) -> HTTPRequest:
     """Encodes a client's request for another entry, which repeats all checks."""
     headers = [("Host", request.host), (REQUEST_ID_HEADER, request.id)]
+    headers += encode_key_decision(decision)
     if request.key is not None:
         headers.append((API_KEY_HEADER, request.key))
     if request.wait:
@@ -88,6 +100,30 @@
     return HTTPRequest(request.method, request.target, headers, request.body or None)
 
 
+def encode_key_decision(decision: KeyDecision) -> Headers:
+    """Encodes what an entry has decided about a key, for another entry."""
+    version = (CHECKED_VERSION_HEADER, str(decision.version))
+    if decision.account is None:
+        return (version,)
+    return (version, (CHECKED_ACCOUNT_HEADER, quote(decision.account, safe="")))
+
+
+def decode_key_decision(headers: Headers) -> KeyDecision | None:
+    """Decodes what another entry has decided about a key.
+
+    Returns:
+        The decision, or None if there is none: entries of earlier releases state none.
+    """
+    values = {name.lower(): value for name, value in headers}
+    version = parse_integer(values.get(CHECKED_VERSION_HEADER.lower()))
+    if version is None:
+        return None
+    account = values.get(CHECKED_ACCOUNT_HEADER.lower())
+    return KeyDecision(
+        None if account is None else AccountId(unquote(account)), version
+    )
+
+
 def identify_responder(
     response: Response | StreamingResponse, name: ProcessName
 ) -> Response | StreamingResponse:
