Check the key of a request about a job again after each wait

Callers could read results, and end a job, with a key that had been withdrawn or assigned to another client account while the request waited: for a result (up to 1 s), for a read of the job's partition (0.6 s) or for the retries of the append (2.5 s).

Cause: the key was looked up once, before these waits.

Change: it is looked up again after each wait, and for the end of a job just before each append is written. A key that is no longer valid is refused; one that belongs to another account by then gets 503 (process.configuration_changed), so that the retry is decided anew.

--- /dev/null
+++ b/buckthornstile/entry/tests/test_key_changes.py
@@ -0,0 +1,131 @@
+"""The account of a key changes while a request waits."""
+
+import asyncio
+from typing import Any
+
+import pytest
+
+from buckthornstile.base import PlatformUnavailableError
+from buckthornstile.entry.tests.in_process import (
+    API_KEY,
+    MODEL_SERVICE,
+    InProcessDeployment,
+    make_job,
+    with_deployment,
+)
+from buckthornstile.jobs import JobId
+
+CHANGES = pytest.mark.parametrize(
+    "accounts, status",
+    [({"mill": [], "quay": [API_KEY]}, 503), ({"mill": [], "quay": []}, 401)],
+    ids=["moved", "withdrawn"],
+)
+
+
+async def change_keys(
+    deployment: InProcessDeployment, accounts: dict[str, list[str]]
+) -> None:
+    """Puts a configuration with these keys in effect."""
+    deployment.put_configuration(
+        tenants=[{"name": name, "apiKeys": keys} for name, keys in accounts.items()]
+    )
+    entry = deployment.entries["e1"]
+    version = deployment.configuration_version
+    await deployment.wait_for(lambda: entry.view.configuration.version == version)
+
+
+class FailingAppends:
+    """Refuses appends to the topic of jobs until it is told to pass them on."""
+
+    def __init__(self, deployment: InProcessDeployment, *, is_refused: bool) -> None:
+        self.is_refused = is_refused
+        self.has_failed = asyncio.Event()
+        self.passes = False
+        store = deployment.entries["e1"].store
+        self.append, store.append = store.append, self.append_or_fail
+
+    async def append_or_fail(self, topic: str, *arguments: Any, **options: Any) -> int:
+        if topic != "keyed.jobs" or self.passes:
+            return await self.append(topic, *arguments, **options)
+        self.has_failed.set()
+        raise PlatformUnavailableError(
+            "refused", may_have_taken_effect=not self.is_refused
+        )
+
+
+@CHANGES
+def test_results_are_not_returned_after_a_held_read(
+    accounts: dict[str, list[str]], status: int
+):
+    """A read that was held for a result returned it to a key of another account."""
+
+    @with_deployment
+    async def test(deployment: InProcessDeployment) -> None:
+        worker = deployment.add_worker("m1", MODEL_SERVICE)
+        worker.faults.add({"kind": "full"})
+        entry = await deployment.add_entry("e1")
+        assert await deployment.submit_job("e1", make_job(scored=False), "j1") == 202
+        await deployment.wait_for(lambda: entry.job_store.table.find(JobId("j1")))
+        reading = asyncio.create_task(deployment.read_results("e1", "j1", wait=900))
+        job = entry.job_store.table.find(JobId("j1"))
+        await deployment.wait_for(lambda: job.change_callbacks)
+        await change_keys(deployment, accounts)
+        assert (await reading)[0] == status
+
+    test()
+
+
+@CHANGES
+def test_job_is_looked_up_for_the_account_after_the_wait(
+    accounts: dict[str, list[str]], status: int
+):
+    """A job that was read meanwhile was returned to a key of another account."""
+
+    @with_deployment
+    async def test(deployment: InProcessDeployment) -> None:
+        deployment.add_worker("m1", MODEL_SERVICE)
+        entry = await deployment.add_entry("e1")
+        consumer = entry.job_store.consumers[entry.job_store.find_partition("mill")]
+        is_waiting, may_go_on = asyncio.Event(), asyncio.Event()
+
+        async def wait_until_synced(timeout: float) -> bool:
+            is_waiting.set()
+            await may_go_on.wait()
+            return True
+
+        consumer.wait_until_synced = wait_until_synced
+        reading = asyncio.create_task(deployment.read_results("e1", "j1"))
+        await deployment.wait_for(is_waiting.is_set)
+        assert await deployment.submit_job("e1", make_job(scored=False), "j1") == 202
+        await deployment.wait_for(lambda: entry.job_store.table.find(JobId("j1")))
+        await change_keys(deployment, accounts)
+        may_go_on.set()
+        assert (await reading)[0] == status
+
+    test()
+
+
+@CHANGES
+def test_job_is_not_ended_with_a_key_that_was_taken_away(
+    accounts: dict[str, list[str]], status: int
+):
+    """The end was appended with a retry, after the key had gone to another account."""
+
+    @with_deployment
+    async def test(deployment: InProcessDeployment) -> None:
+        worker = deployment.add_worker("m1", MODEL_SERVICE)
+        worker.faults.add({"kind": "full"})
+        entry = await deployment.add_entry("e1")
+        assert await deployment.submit_job("e1", make_job(scored=False), "j1") == 202
+        await deployment.wait_for(lambda: entry.job_store.table.find(JobId("j1")))
+        appends = FailingAppends(deployment, is_refused=True)
+        ending = asyncio.create_task(
+            deployment.send_request("e1", "DELETE", "/-/lots/j1")
+        )
+        await deployment.wait_for(appends.has_failed.is_set)
+        await change_keys(deployment, accounts)
+        appends.passes = True
+        assert (await ending).status == status
+        assert not entry.job_store.table.find(JobId("j1")).ended
+
+    test()
--- a/buckthornstile/gateway/_handlers.py
+++ b/buckthornstile/gateway/_handlers.py
@@ -374,6 +374,7 @@
         job = await self._find_job(job_id, key)
         if start >= len(job.results) and not job.is_finished():
             await self._wait_for_result(job, start, request.wait)
+            key.check()
         total = len(job.items)
         if start >= len(job.results) and len(job.results) < total:
             self._check_freshness(job)
@@ -395,7 +396,7 @@
     async def _end_job(self, job_id: JobId, key: RequestKey) -> Response:
         job = await self._find_job(job_id, key)
         if not job.ended:
-            await self.dependencies.job_store.end(job)
+            await self.dependencies.job_store.end(job, before_send=key.check)
             log_event("job.ended", job=job_id, listed=len(job.results))
         return Response(200)
 
@@ -412,6 +413,7 @@
                     f"the store could not be read to look up job {job_id!r}",
                     retry_after=RETRY_AFTER_SECONDS,
                 )
+            key.check()
             job = table.find(job_id)
         account = decision.account or NO_ACCOUNT
         if job is None or job.specification.account != account:
--- a/buckthornstile/gateway/_job_store.py
+++ b/buckthornstile/gateway/_job_store.py
@@ -218,15 +218,25 @@
             # The job is stored already.
             log_event("job.known", job=specification.id, reason=error.message)
 
-    async def end(self, job: Job) -> None:
+    async def end(
+        self, job: Job, *, before_send: Callable[[], object] | None = None
+    ) -> None:
         """Stores that the client ended a job.
 
+        Args:
+            job: The job.
+            before_send: Called just before each append; raises if the job must no
+                longer be ended.
+
         Raises:
-            BuckthornstileError: The append failed or its outcome is unknown.
+            BuckthornstileError: The append failed or its outcome is unknown, or the
+                error of ``before_send``.
         """
         ended_at = self.wall_clock()
         record = encode_end(job.id, ended_at)
-        await self._append(job.part, [record], None, APPEND_RETRY_TIME)
+        await self._append(
+            job.part, [record], None, APPEND_RETRY_TIME, before_send=before_send
+        )
         self.table.end(job, ended_at)
 
     async def claim(self, job: Job) -> None:
@@ -267,6 +277,8 @@
         records: Sequence[JobRecord],
         producer: Producer | None,
         retry_time: float,
+        *,
+        before_send: Callable[[], object] | None = None,
     ) -> None:
         encoded = [encode_keyed_record(record.key, record.value) for record in records]
         retry_until = self.clock() + retry_time
@@ -279,6 +291,7 @@
                     encoded,
                     producer=producer,
                     timeout=APPEND_TIMEOUT,
+                    before_send=before_send,
                 )
                 return
             except PlatformUnavailableError as error:
@@ -293,6 +306,12 @@
                         verdict=verdict,
                         retry_after=APPEND_RETRY_DELAY,
                     ) from error
+            except AppendConflictError:
+                raise
+            except BuckthornstileError as error:
+                if may_have_taken_effect:
+                    error.verdict = Verdict.MAY_HAVE_RUN
+                raise
             await asyncio.sleep(APPEND_RETRY_DELAY)
 
     def _get_read_wait(self) -> float:
--- a/buckthornstile/platform/_store.py
+++ b/buckthornstile/platform/_store.py
@@ -2,7 +2,7 @@
 
 import base64
 import struct
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 from urllib.parse import urlencode
@@ -208,6 +208,7 @@
         producer: Producer | None = None,
         timeout: float = CALL_TIMEOUT,
         avoids_direct_path: bool = False,
+        before_send: Callable[[], object] | None = None,
     ) -> int:
         """Appends all of the records or none.
 
@@ -221,6 +222,8 @@
             timeout: Seconds to wait for the response.
             avoids_direct_path: Whether to use a proxy if there is one, also while the
                 direct path is not known to be lost.
+            before_send: Called just before the call is written; raises if the records
+                must no longer be appended. Its error is raised unchanged.
 
         Returns:
             The offset of the first record.
@@ -240,7 +243,12 @@
         body = b"".join(LENGTH_PREFIX.pack(len(record)) + record for record in records)
         path = "/-/log-append?" + urlencode(query)
         response = await self._call(
-            "POST", path, body, timeout, avoids_direct_path=avoids_direct_path
+            "POST",
+            path,
+            body,
+            timeout,
+            avoids_direct_path=avoids_direct_path,
+            before_send=before_send,
         )
         if response.status not in (409, 412):
             _check_status(response)
@@ -383,7 +391,18 @@
         *,
         is_direct: bool = False,
         avoids_direct_path: bool = False,
+        before_send: Callable[[], object] | None = None,
     ) -> HTTPResponse:
+        check_errors: list[BuckthornstileError] = []
+
+        def check_before_send() -> None:
+            try:
+                if before_send is not None:
+                    before_send()
+            except BuckthornstileError as error:
+                check_errors.append(error)
+                raise
+
         proxy = ""
         if not is_direct:
             proxy = self.proxy_selector.select_proxy(
@@ -396,7 +415,9 @@
         request = HTTPRequest(method, path, headers, body)
         try:
             async with limit_time(timeout):
-                response = await self._pool.send(address, request)
+                response = await self._pool.send(
+                    address, request, before_send=check_before_send
+                )
         except TimeoutError as error:
             # The idle connections may all be dead while a new one would work.
             self._pool.close_idle(address)
@@ -405,6 +426,8 @@
                 "the store did not respond in time"
             ) from error
         except BuckthornstileError as error:
+            if error in check_errors:
+                raise
             self.proxy_selector.record_failure(proxy)
             raise PlatformUnavailableError(
                 f"call to the store failed: {error.message}",
