Check the key of a call or stream just before it is sent

A request that waited for a connection, a slot or a retry was run in the name of a client account that its key had left meanwhile, or with a key that had been withdrawn. With a wait for admission, only the second was noticed.

Cause: the account was decided when the request arrived, and the request was sent with it however long it waited.

Change: the key is looked up again just before each send. The first send needs a recent configuration; later ones (retries, hedges, resumed streams) are refused only if it is known that the key no longer stands for the account, so that streams still go on in an outage of the store. Such an error is not counted as a failure of the upstream.

--- a/buckthornstile/entry/tests/test_key_changes.py
+++ b/buckthornstile/entry/tests/test_key_changes.py
@@ -5,14 +5,17 @@
 
 import pytest
 
-from buckthornstile.base import PlatformUnavailableError
+from buckthornstile.base import BuckthornstileError, PlatformUnavailableError
 from buckthornstile.entry.tests.in_process import (
     API_KEY,
     MODEL_SERVICE,
+    PLAIN_SERVICE,
     InProcessDeployment,
     make_job,
     with_deployment,
 )
+from buckthornstile.entry.tests.test_streams import add_route, read_stream
+from buckthornstile.http_client import _connection_pool
 from buckthornstile.jobs import JobId
 
 CHANGES = pytest.mark.parametrize(
@@ -155,3 +158,87 @@
         assert entry.job_store.table.find(JobId("j1")) is None
 
     test()
+
+
+class HeldConnects:
+    """Holds back connections to one address."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch, port: int) -> None:
+        self.port = port
+        self.is_held, self.released = asyncio.Event(), asyncio.Event()
+        self.connect = _connection_pool._connect
+        monkeypatch.setattr(_connection_pool, "_connect", self.connect_late)
+
+    async def connect_late(self, address: str, timeout: float):
+        stream = await self.connect(address, timeout)
+        if address.endswith(f":{self.port}"):
+            self.is_held.set()
+            await self.released.wait()
+        return stream
+
+
+@pytest.mark.parametrize("kind", ["call", "stream"])
+@CHANGES
+def test_request_is_not_sent_for_the_account_that_its_key_has_left(
+    accounts: dict[str, list[str]],
+    status: int,
+    kind: str,
+    monkeypatch: pytest.MonkeyPatch,
+):
+    """It waited for a connection, and was run in the name of the former account."""
+
+    @with_deployment
+    async def test(deployment: InProcessDeployment) -> None:
+        add_route(deployment, resumable=False)
+        service = PLAIN_SERVICE if kind == "call" else MODEL_SERVICE
+        worker = deployment.add_worker("w1", service)
+        entry = await deployment.add_entry("e1")
+        connects = HeldConnects(monkeypatch, worker.port)
+        sending = asyncio.create_task(
+            deployment.send_simple_request("e1", "r1", target="/once/7")
+            if kind == "call"
+            else read_stream(deployment, "r1", [])
+        )
+        await deployment.wait_for(connects.is_held.is_set)
+        await change_keys(deployment, accounts)
+        connects.released.set()
+        assert (await sending).status == status
+        assert worker.list_runs() == []
+        upstream = entry.view.upstreams["w1"]
+        assert not entry.balancer.is_ejected(upstream)
+
+    test()
+
+
+@pytest.mark.parametrize("is_withdrawn", [False, True], ids=["outage", "withdrawn"])
+def test_broken_stream_is_resumed_in_an_outage_but_not_with_a_withdrawn_key(
+    is_withdrawn: bool, monkeypatch: pytest.MonkeyPatch
+):
+    """The age limit holds for new requests; a known change holds for all sends."""
+
+    @with_deployment
+    async def test(deployment: InProcessDeployment) -> None:
+        add_route(deployment, resumable=True)
+        for name in ("m1", "m2"):
+            worker = deployment.add_worker(name, MODEL_SERVICE)
+            worker.faults.add({"kind": "stall", "value": 2, "seconds": 0.5, "count": 1})
+        entry = await deployment.add_entry("e1")
+        chunks: list[bytes] = []
+        reading = asyncio.create_task(read_stream(deployment, "r1", chunks))
+        await deployment.wait_for(lambda: chunks)
+        if is_withdrawn:
+            await change_keys(deployment, {"mill": [], "quay": []})
+        else:
+            checker = entry.client_handlers.dependencies.key_checker
+            monkeypatch.setattr(checker, "key_bound", 0.0)
+        first = next(w for w in deployment.workers.values() if w.list_runs())
+        await first.stop()
+        if is_withdrawn:
+            with pytest.raises(BuckthornstileError):
+                await reading
+        else:
+            assert (await reading).status == 200
+        others = [w for w in deployment.workers.values() if w is not first]
+        assert bool(others[0].list_runs()) is not is_withdrawn
+
+    test()
--- a/buckthornstile/gateway/_call_sender.py
+++ b/buckthornstile/gateway/_call_sender.py
@@ -43,7 +43,15 @@
 one of them, but without the statement that it has not run it, is no such promise."""
 FIRST_SERVER_ERROR_STATUS = 500
 """HTTP status from which a response to an idempotent request leads to a retry."""
-STALE_STATE_CODES = frozenset({ErrorCode.CONFIGURATION_OLD, ErrorCode.JOB_UNVERIFIED})
+CHECK_ERROR_CODES = frozenset(
+    {
+        ErrorCode.CONFIGURATION_OLD,
+        ErrorCode.CONFIGURATION_CHANGED,
+        ErrorCode.KEY_MISSING,
+        ErrorCode.KEY_UNKNOWN,
+        ErrorCode.JOB_UNVERIFIED,
+    }
+)
 """Errors of checks before a send; another upstream would not be sent the request
 either."""
 
@@ -135,9 +143,9 @@
         return self.random_source.choices(names, weights)[0]
 
 
-def is_stale_state_error(error: BaseException | None) -> bool:
-    """Whether a request was not sent because what this process knows is too old."""
-    return isinstance(error, BuckthornstileError) and error.code in STALE_STATE_CODES
+def is_check_error(error: BaseException | None) -> bool:
+    """Whether a request was not sent because a check before the send failed."""
+    return isinstance(error, BuckthornstileError) and error.code in CHECK_ERROR_CODES
 
 
 class _PendingCall:
@@ -335,7 +343,7 @@
 
     def _record_error(self, attempt: _Attempt, error: BaseException) -> None:
         self.failures.append((attempt.upstream, error))
-        if not is_stale_state_error(error):
+        if not is_check_error(error):
             self.sender.balancer.record_failure(attempt.upstream)
         if not isinstance(error, BuckthornstileError):
             error = BuckthornstileError(
@@ -389,7 +397,7 @@
 
     def _may_retry(self) -> bool:
         """Whether the request may be sent to another upstream after a failure."""
-        if self.refusal_count >= MAX_REFUSALS or is_stale_state_error(self.last_error):
+        if self.refusal_count >= MAX_REFUSALS or is_check_error(self.last_error):
             return False
         if not self.is_idempotent and self.may_have_run:
             return False
@@ -429,7 +437,7 @@
                 verdict=verdict,
             )
         if not self.may_have_run:
-            if self.last_error is not None and is_stale_state_error(self.last_error):
+            if self.last_error is not None and is_check_error(self.last_error):
                 return self.last_error
             return self.ticket.refuse() or BuckthornstileError(
                 ErrorCode.NO_UPSTREAM,
--- a/buckthornstile/gateway/_handlers.py
+++ b/buckthornstile/gateway/_handlers.py
@@ -211,6 +211,7 @@
             route,
             account,
             started_at + timeout,
+            before_send=key.check_before_send,
             check_after_wait=key.check,
             may_be_resumed=route.is_streaming and route.is_resumable,
         )
--- a/buckthornstile/gateway/_item_runner.py
+++ b/buckthornstile/gateway/_item_runner.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from buckthornstile.base import AccountId, BuckthornstileError
-from buckthornstile.gateway._call_sender import is_stale_state_error
+from buckthornstile.gateway._call_sender import is_check_error
 from buckthornstile.gateway._item_progress import (
     UNTIMED_OUTCOMES,
     ItemProgress,
@@ -365,7 +365,7 @@
                 balancer.record_failure(self.upstream)
             return RunOutcome.TIMED_OUT
         error = None if task.cancelled() else task.exception()
-        if is_stale_state_error(error):
+        if is_check_error(error):
             return RunOutcome.NOT_SENT
         if task.cancelled() or error is not None or self.is_broken:
             balancer.record_failure(self.upstream)
--- a/buckthornstile/gateway/_key_checks.py
+++ b/buckthornstile/gateway/_key_checks.py
@@ -63,13 +63,18 @@
         return configuration
 
     def find_account(
-        self, key: str | None, *, allows_anonymous: bool = False
+        self,
+        key: str | None,
+        *,
+        allows_anonymous: bool = False,
+        checks_age: bool = True,
     ) -> AccountId | None:
         """Returns the client account of a key, or None if no key is needed.
 
         Args:
             key: The API key of a request, or None if it has none.
             allows_anonymous: Whether the request needs no key.
+            checks_age: Whether the configuration must be recent.
 
         Raises:
             BuckthornstileError: The key is missing or unknown, or the configuration is
@@ -78,7 +83,8 @@
         configuration = self.get_configuration()
         if allows_anonymous or not configuration.accounts:
             return None
-        self.check_age()
+        if checks_age:
+            self.check_age()
         if not key:
             raise BuckthornstileError(
                 ErrorCode.KEY_MISSING, "the request has no API key"
@@ -135,6 +141,7 @@
         self.stated = stated
         self.decision: KeyDecision | None = None
         self._is_stated_logged = False
+        self._was_sent = False
 
     def check(self) -> KeyDecision:
         """Decides for which client account the request is handled from now on.
@@ -151,6 +158,25 @@
         self.decision = decision
         return decision
 
+    def check_before_send(self) -> None:
+        """Checks the key just before the request is sent to an upstream.
+
+        The first send needs a recent configuration. The request may be sent again in an
+        outage of the store, unless it is known that the key is no longer valid.
+
+        Raises:
+            BuckthornstileError: As for ``check``.
+        """
+        if not self._was_sent:
+            self.check()
+            self._was_sent = True
+            return
+        account = self.checker.find_account(
+            self.key, allows_anonymous=self.allows_anonymous, checks_age=False
+        )
+        if self.decision is None or account != self.decision.account:
+            raise _make_changed_error()
+
     def _decide(self) -> KeyDecision:
         version = self.checker.get_configuration().version
         if self.stated is not None and self.stated.version > version:
--- a/buckthornstile/gateway/_proxied_stream.py
+++ b/buckthornstile/gateway/_proxied_stream.py
@@ -19,7 +19,7 @@
     NOT_RUN_STATUSES,
     REFUSAL_PAUSE,
     CallSender,
-    is_stale_state_error,
+    is_check_error,
 )
 from buckthornstile.gateway._fingerprint import compute_fingerprint
 from buckthornstile.gateway._incarnation_checker import IncarnationChecker
@@ -295,7 +295,7 @@
 
     async def _record_failure(self, run: StreamRun) -> None:
         error = run.get_error()
-        if error is not None and is_stale_state_error(error):
+        if error is not None and is_check_error(error):
             raise self._make_error(error.code, error.message)
         self.resources.balancer.record_failure(run.upstream)
         if error is None:
--- a/buckthornstile/messages/_types.py
+++ b/buckthornstile/messages/_types.py
@@ -242,7 +242,8 @@
 
     ``deadline`` is a time of the event loop's clock, in seconds. ``before_send`` is
     called just before each send and raises ``CONFIGURATION_OLD`` if the known keys and
-    upstreams are too stale, or ``JOB_UNVERIFIED`` if the records of its job are.
+    upstreams are too stale, ``JOB_UNVERIFIED`` if the records of its job are, or the
+    error of a key that is no longer valid.
     ``is_item_call`` is whether an item of a job needs the request, which is then still
     owed if upstreams crashed while they ran it. ``check_after_wait`` is called after
     the request has waited for a free upstream and raises if its key has become invalid.
