Hold a job until its owner knows the configuration that it was accepted under

Items of a job were sent to the service that the route had before the 202, or took a result of several weight versions over, though the route had come to forbid that.

Cause: the owner of a job looks its route up in its own configuration, which may be older than that of the entry that accepted the job.

Change: the specification states the version (for the project's own API, the revision), and the owner holds the job until it has read it. A job that is held starts nothing, reuses nothing and gives nothing up. Specifications of earlier releases state none and are run as before; earlier releases ignore the new field.

--- a/buckthornstile/api/_configuration.py
+++ b/buckthornstile/api/_configuration.py
@@ -162,7 +162,9 @@
             return
         current = self.current
         self.view.replace_api_configuration(
-            [make_route(rule) for rule in current.rules.values()], current.drains
+            [make_route(rule) for rule in current.rules.values()],
+            current.drains,
+            revision=current.revision,
         )
         log_event(
             "configuration.in_force",
--- a/buckthornstile/api/_dependencies.py
+++ b/buckthornstile/api/_dependencies.py
@@ -73,6 +73,7 @@
         request_class: The scheduling class of the request.
         maximum_age: Number of weight versions that a sample may be behind its
             trainer.
+        revision: The revision of the configuration that allows the request.
     """
 
     account: Account
@@ -80,6 +81,7 @@
     route: Route
     request_class: RequestClass
     maximum_age: int = 0
+    revision: int = 0
 
 
 def authorize(
@@ -134,6 +136,7 @@
         make_route(rule),
         rule.request_class,
         rule.maximum_age,
+        configuration.revision,
     )
 
 
--- a/buckthornstile/api/_lot_attachment.py
+++ b/buckthornstile/api/_lot_attachment.py
@@ -117,6 +117,7 @@
                 model=attachment.model,
                 minimum_version=minimum_version,
                 submitted_at=self.dependencies.wall_clock(),
+                configuration_version=attachment.authorization.revision,
             )
             owner = self.dependencies.choose_first_owner(specification)
             await self.dependencies.jobs.accept(specification, owner)
--- a/buckthornstile/api/_lot_jobs.py
+++ b/buckthornstile/api/_lot_jobs.py
@@ -32,6 +32,7 @@
     model: ModelName,
     minimum_version: int,
     submitted_at: float,
+    configuration_version: int,
 ) -> JobSpecification:
     """Builds the job of a lot, with an item for each slot and a group for each prompt.
 
@@ -45,6 +46,7 @@
         model: The model that generates the samples.
         minimum_version: The oldest weight version that a sample may have.
         submitted_at: Submission time, in seconds since the epoch.
+        configuration_version: The revision under which the lot was accepted.
     """
     lot_digest = make_lot_digest(lot)
     items = []
@@ -81,6 +83,7 @@
         minimum_version=minimum_version,
         time_limit=specification.timeout,
         key=key,
+        configuration_version=configuration_version,
     )
 
 
--- a/buckthornstile/entry/_daemon.py
+++ b/buckthornstile/entry/_daemon.py
@@ -296,7 +296,7 @@
             clock=self.clock,
             shares=self.shares,
             scheduler=self.scheduler,
-            freshness=JobFreshness(self.job_store),
+            freshness=JobFreshness(self.job_store, self.view),
         )
         self.job_manager = JobManager(
             self.name,
--- a/buckthornstile/entry/tests/test_ended_jobs.py
+++ b/buckthornstile/entry/tests/test_ended_jobs.py
@@ -24,6 +24,7 @@
 )
 from buckthornstile.jobs.tests.test_table import JOB, make_specification
 from buckthornstile.platform import JOB_TOPIC
+from buckthornstile.topology import TopologyView
 
 CANCEL_MS = 3000  # as in the platform's settings
 
@@ -165,7 +166,7 @@
     job = table.find(JOB)
     assert job is not None
     store = mock.Mock(max_record_age=1.8, table=table, get_record_age=lambda _: 0.5)
-    freshness = JobFreshness(store)
+    freshness = JobFreshness(store, TopologyView())
     assert freshness.find_refusal_reason(job, 2) == ""
     assert freshness.find_refusal_reason(job, 1) == "the job belongs to another runner"
     table.drop_partition(0)
--- a/buckthornstile/gateway/_handlers.py
+++ b/buckthornstile/gateway/_handlers.py
@@ -153,10 +153,10 @@
             return await self._serve_or_forward(request)
         route = self._find_route(request)
         key = self._make_request_key(request, allows_anonymous=route.allows_anonymous)
-        account = key.check().account
+        decision = key.check()
         if route.kind is RouteKind.ROLLOUT:
-            return await self._submit(request, route, account, key)
-        return await self._call(request, route, account, key)
+            return await self._submit(request, route, decision, key)
+        return await self._call(request, route, decision, key)
 
     # Routing and authentication
 
@@ -189,7 +189,7 @@
         self,
         request: ClientRequest,
         route: Route,
-        account: AccountId | None,
+        decision: KeyDecision,
         key: RequestKey,
     ) -> Response | StreamingResponse:
         if not request.id:
@@ -209,7 +209,7 @@
         call = RoutedCall(
             request,
             route,
-            account,
+            decision.account,
             started_at + timeout,
             before_send=key.check_before_send,
             check_after_wait=key.check,
@@ -219,7 +219,7 @@
             return await self.dependencies.stream_proxy.open(call)
         upstream_response = await self.dependencies.sender.send(call)
         self.dependencies.metrics.record_call(
-            account or ANONYMOUS_ACCOUNT, loop.time() - started_at
+            decision.account or ANONYMOUS_ACCOUNT, loop.time() - started_at
         )
         log_event(
             "call.answered",
@@ -241,10 +241,10 @@
         self,
         request: ClientRequest,
         route: Route,
-        account: AccountId | None,
+        decision: KeyDecision,
         key: RequestKey,
     ) -> Response:
-        account_id = account or NO_ACCOUNT
+        account_id = decision.account or NO_ACCOUNT
         existing = self.dependencies.job_store.table.find(JobId(request.id))
         if existing is not None and existing.specification.account == account_id:
             return Response(202)
@@ -254,6 +254,7 @@
             account=account_id,
             route=route,
             submitted_at=self.dependencies.wall_clock(),
+            configuration_version=decision.version,
         )
         if self.dependencies.job_store.is_consumed(
             self.dependencies.job_store.find_partition(account_id)
--- a/buckthornstile/gateway/_job_freshness.py
+++ b/buckthornstile/gateway/_job_freshness.py
@@ -5,6 +5,7 @@
 from buckthornstile.base import BuckthornstileError, ErrorCode
 from buckthornstile.gateway._job_store import JobStore
 from buckthornstile.jobs import Job
+from buckthornstile.topology import TopologyView
 
 
 @dataclass(frozen=True, slots=True)
@@ -16,9 +17,11 @@
 
     Args:
         store: The jobs, the age of their records, and its limit.
+        view: The configuration in effect.
     """
 
     store: JobStore
+    view: TopologyView
 
     def find_refusal_reason(self, job: Job, epoch: int) -> str:
         """Returns why no request may be sent for a job, or "" if one may be sent.
@@ -27,6 +30,10 @@
             job: The job.
             epoch: Epoch of the claim under which it runs.
         """
+        accepted_version = job.specification.configuration_version
+        version = self.view.get_configuration_version(job.specification.host)
+        if version < accepted_version:
+            return f"configuration {accepted_version} has not been read yet"
         if not self.store.max_record_age:
             return ""
         if job.ended:
--- a/buckthornstile/gateway/_job_runner.py
+++ b/buckthornstile/gateway/_job_runner.py
@@ -156,6 +156,9 @@
             is_shared = scheduler.is_shared(route)
             self._update_hold()
             for execution in list(self._pending):
+                if self.is_held:
+                    # Neither the route nor the records may be recent enough to decide.
+                    break
                 result = (
                     execution.find_earlier_result(route)
                     or execution.abandon_if_expired()
@@ -163,7 +166,7 @@
                 if result is not None:
                     self._pending.remove(execution)
                     self._finish(result)
-                elif not is_shared and not self.is_held:
+                elif not is_shared:
                     self._start(execution, route)
             if is_shared:
                 self._source.stop_spare_runs()
--- a/buckthornstile/jobs/_records.py
+++ b/buckthornstile/jobs/_records.py
@@ -133,6 +133,7 @@
         "step": specification.step,
         "limit": specification.time_limit,
         "key": specification.key,
+        "configuration": specification.configuration_version,
         "items": [],
     }
     # The text is compressed in pieces: it takes twice the memory of the items, and
@@ -194,6 +195,8 @@
         step=data["step"],
         time_limit=data["limit"],
         key=KeyId(data["key"]),
+        # Earlier releases do not state it.
+        configuration_version=data.get("configuration", 0),
         items=items,
     )
 
--- a/buckthornstile/jobs/_types.py
+++ b/buckthornstile/jobs/_types.py
@@ -51,7 +51,8 @@
     ``submitted_at`` is the time in seconds since the epoch on the accepting process's
     clock. ``time_limit`` is the number of seconds after which the job is abandoned, or
     0 for the retention time of its route. A job with a ``key`` ends when that key is
-    withdrawn.
+    withdrawn. ``configuration_version`` is the version of the configuration under which
+    the job was accepted, that of the API for a job of the API, or 0 if unknown.
     """
 
     id: JobId
@@ -66,6 +67,7 @@
     step: int = -1
     time_limit: float = 0.0
     key: KeyId = KeyId("")
+    configuration_version: int = 0
 
     def count_body_bytes(self) -> int:
         """Returns the size of the bodies of all items, in bytes."""
--- a/buckthornstile/jobs/tests/test_records.py
+++ b/buckthornstile/jobs/tests/test_records.py
@@ -3,6 +3,7 @@
 import json
 import tracemalloc
 import zlib
+from dataclasses import replace
 
 import pytest
 
@@ -45,6 +46,16 @@
     assert text == json.dumps(json.loads(text))
 
 
+def test_specification_of_an_earlier_release_states_no_configuration() -> None:
+    """Its job must not wait for a configuration that nobody named."""
+    specification = replace(make_specification(b"x"), configuration_version=7)
+    data = json.loads(zlib.decompress(encode(specification)))
+    del data["configuration"]
+    value = zlib.compress(json.dumps(data).encode())
+    expected = replace(specification, configuration_version=0)
+    assert decode_specification(JobId("j"), value) == expected
+
+
 @pytest.mark.parametrize("kept_part", [0.0, 0.3, 0.9, 0.9999])
 def test_incomplete_specification_is_refused(kept_part) -> None:
     """Reading must end at the end of a value that was cut."""
--- a/buckthornstile/platform/_jobs.py
+++ b/buckthornstile/platform/_jobs.py
@@ -34,7 +34,13 @@
 
 
 def decode_job(
-    job_id: str, body: bytes, *, account: AccountId, route: Route, submitted_at: float
+    job_id: str,
+    body: bytes,
+    *,
+    account: AccountId,
+    route: Route,
+    submitted_at: float,
+    configuration_version: int = 0,
 ) -> JobSpecification:
     """Decodes and checks a submitted batch job.
 
@@ -62,6 +68,7 @@
             # Despite its name, "desiredCount" counts whole groups, not items.
             wanted_groups=int(data.get("desiredCount") or 0),
             step=int(data.get("step", -1)),
+            configuration_version=configuration_version,
         )
     except (KeyError, TypeError, AttributeError, ValueError) as error:
         raise _make_error(f"{type(error).__name__}: {error}") from error
--- a/buckthornstile/topology/_view.py
+++ b/buckthornstile/topology/_view.py
@@ -72,6 +72,7 @@
         self.drained_domains: frozenset[FailureDomain] = frozenset()
         self._routes: dict[str, list[Route]] = {}
         self._api_routes: dict[str, Route] = {}
+        self._api_revision = 0
         self._accounts: dict[str, PlatformAccount] = {}
         self._priorities: dict[AccountId, int] = {}
 
@@ -108,9 +109,14 @@
             self.evacuated_domains.discard(failure_domain)
 
     def replace_api_configuration(
-        self, routes: Iterable[Route], drained: Iterable[FailureDomain]
+        self,
+        routes: Iterable[Route],
+        drained: Iterable[FailureDomain],
+        *,
+        revision: int,
     ) -> None:
         """Replaces the product's own API routes and the drained failure domains."""
+        self._api_revision = revision
         self._api_routes = {route.path_prefix: route for route in routes}
         self.drained_domains = frozenset(drained)
 
@@ -313,6 +319,15 @@
                 return route
         return None
 
+    def get_configuration_version(self, host: str) -> int:
+        """Returns the version of the configuration of a host's routes, or 0 for none.
+
+        For the host ``API_HOST``, it is the revision of the product's own one.
+        """
+        if host == API_HOST:
+            return self._api_revision
+        return self.configuration.version if self.configuration is not None else 0
+
     def find_account(self, key: str) -> PlatformAccount | None:
         """Returns the account to which a key belongs, or None."""
         return self._accounts.get(key)
