End jobs only for keys that are known to be withdrawn

After an outage of the store of 5 to 7 s, or when an entry woke after 5 s, the owner of a trainer's lot ended its jobs though their key was valid: the client library attached again and a new job had to run what was missing.

Cause: an entry that could not verify a key, or did not know it yet, treated it as withdrawn. Stopping the job is right; its end is final, and was stored as soon as the store answered, possibly before its records were read.

Change: the state of a key is valid, unverified or withdrawn. A job stops while its key is unverified, and its owner claims it again afterwards. Only a withdrawal ends it.

--- a/buckthornstile/api/_configuration.py
+++ b/buckthornstile/api/_configuration.py
@@ -8,6 +8,7 @@
 from buckthornstile.configuration import (
     Configuration,
     ConfigurationState,
+    KeyState,
     OpenRoute,
     Rule,
 )
@@ -112,10 +113,18 @@
             and self.get_staleness() < KEY_BOUND_FRACTION * self.key_bound
         )
 
-    def is_withdrawn(self, key: KeyId) -> bool:
-        """Whether work under a key must stop, as the key is not known to be valid."""
+    def get_key_state(self, key: KeyId) -> KeyState:
+        """Returns whether work under a key may go on.
+
+        A withdrawal is final, so that it holds however old the configuration is. A key
+        that is not known may have been added since.
+        """
         known = self.current.keys.get(key)
-        return not self.is_fresh() or known is None or known.withdrawn
+        if known is not None and known.withdrawn:
+            return KeyState.WITHDRAWN
+        if known is None or not self.is_fresh():
+            return KeyState.UNVERIFIED
+        return KeyState.VALID
 
     def get_trainer_version(self, trainer: str) -> int:
         """Returns the newest weight version that a trainer has published, or 0."""
--- a/buckthornstile/configuration/__init__.py
+++ b/buckthornstile/configuration/__init__.py
@@ -15,6 +15,7 @@
     ConfigurationItem,
     Drain,
     ItemReference,
+    KeyState,
     OpenRoute,
     Rule,
 )
@@ -45,6 +46,7 @@
     "ConfigurationItem",
     "Drain",
     "ItemReference",
+    "KeyState",
     "ApiKey",
     "ConfigurationRecord",
     "GeneratedApiKey",
--- a/buckthornstile/configuration/_items.py
+++ b/buckthornstile/configuration/_items.py
@@ -1,5 +1,6 @@
 """Items of the operators' configuration."""
 
+from enum import Enum
 from typing import Annotated, Literal
 
 from pydantic import BaseModel, ConfigDict, Field
@@ -62,6 +63,18 @@
     withdrawn: bool = False
 
 
+class KeyState(Enum):
+    """Whether work under a key may go on.
+
+    ``UNVERIFIED`` is the state of a key that an outdated configuration does not tell:
+    work stops until it is known, but nothing final may follow from it.
+    """
+
+    VALID = "valid"
+    UNVERIFIED = "unverified"
+    WITHDRAWN = "withdrawn"
+
+
 class OpenRoute(_Item):
     """A route that needs no key.
 
--- a/buckthornstile/entry/_daemon.py
+++ b/buckthornstile/entry/_daemon.py
@@ -29,6 +29,7 @@
     ServiceName,
 )
 from buckthornstile.clock import read_boottime, read_wall_time
+from buckthornstile.configuration import KeyState
 from buckthornstile.entry._client_guard import ClientGuard, make_client_guard
 from buckthornstile.entry._components import (
     SharedResources,
@@ -305,7 +306,7 @@
             assignment=self.assignment,
             clock=self.clock,
             result_lifetime=self.settings.result_lifetime,
-            is_withdrawn=self._is_key_withdrawn,
+            get_key_state=self._get_key_state,
         )
 
     def _make_lease_holder_tasks(self) -> None:
@@ -544,8 +545,10 @@
         entry_count = max(1, len(self.presence.list_live()))
         return max(1, -(-slot_count // entry_count))
 
-    def _is_key_withdrawn(self, key: KeyId) -> bool:
-        return self.configuration is None or self.configuration.is_withdrawn(key)
+    def _get_key_state(self, key: KeyId) -> KeyState:
+        if self.configuration is None:
+            return KeyState.UNVERIFIED
+        return self.configuration.get_key_state(key)
 
     def _find_key_error(self, key: KeyId) -> BuckthornstileError | None:
         if self.configuration is None or not key:
--- a/buckthornstile/gateway/_job_manager.py
+++ b/buckthornstile/gateway/_job_manager.py
@@ -9,6 +9,7 @@
     ProcessName,
     ServiceName,
 )
+from buckthornstile.configuration import KeyState
 from buckthornstile.gateway._job_context import JobDependencies
 from buckthornstile.gateway._job_runner import JobRunner
 from buckthornstile.gateway._partition_assignment import PartitionAssignment
@@ -40,7 +41,7 @@
         assignment: The partitions that each process consumes.
         clock: Returns the time in seconds; must also advance during suspend.
         result_lifetime: Seconds for which the results of a job stay readable.
-        is_withdrawn: Whether a key was withdrawn, so that its jobs must stop.
+        get_key_state: Returns whether jobs of a key may run.
     """
 
     def __init__(
@@ -52,10 +53,10 @@
         assignment: PartitionAssignment,
         clock: Callable[[], float],
         result_lifetime: float,
-        is_withdrawn: Callable[[KeyId], bool],
+        get_key_state: Callable[[KeyId], KeyState],
     ) -> None:
         self.assignment = assignment
-        self.is_withdrawn = is_withdrawn
+        self.get_key_state = get_key_state
         self.name = name
         self.dependencies = dependencies
         self.presence = presence
@@ -77,7 +78,7 @@
             self._runners.pop(job.id).stop()
             runner = None
         if is_owner and not job.is_finished():
-            if runner is None and not self._is_key_withdrawn(job):
+            if runner is None and self._get_key_state(job) is KeyState.VALID:
                 self._runners[job.id] = JobRunner(
                     job, self.dependencies, self._on_runner_ended
                 )
@@ -160,20 +161,31 @@
         if self._runners.get(runner.job.id) is runner:
             del self._runners[runner.job.id]
 
-    def _is_key_withdrawn(self, job: Job) -> bool:
+    def _get_key_state(self, job: Job) -> KeyState:
         key = job.specification.key
-        return bool(key) and self.is_withdrawn(key)
+        return self.get_key_state(key) if key else KeyState.VALID
 
     async def _stop_withdrawn_jobs(self) -> None:
-        """Stops and ends the jobs whose key was withdrawn."""
+        """Stops the jobs whose key may not be valid; ends those of withdrawn keys.
+
+        A job of a key that cannot be verified is claimed again once it can be.
+        """
         for runner in list(self._runners.values()):
             job = runner.job
             # The runner may have ended or been replaced during the calls for others.
             is_current = self._runners.get(job.id) is runner
-            if not is_current or not self._is_key_withdrawn(job):
+            state = self._get_key_state(job)
+            if not is_current or state is KeyState.VALID:
                 continue
-            log_event("job.key_lost", job=job.id, key=job.specification.key)
+            log_event(
+                "job.key_lost",
+                job=job.id,
+                key=job.specification.key,
+                state=state.value,
+            )
             self._runners.pop(job.id).stop()
+            if state is not KeyState.WITHDRAWN:
+                continue
             try:
                 await self.dependencies.store.end(job)
             except BuckthornstileError as error:
@@ -208,7 +220,7 @@
     def _is_orphan(self, job: Job, live: list[ProcessName]) -> bool:
         age = self.clock() - job.started_at
         is_done = job.is_finished() or age > job.get_lifetime(self.result_lifetime)
-        if is_done or self._is_key_withdrawn(job):
+        if is_done or self._get_key_state(job) is not KeyState.VALID:
             return False
         if job.claim is None:
             return True
--- a/buckthornstile/gateway/tests/test_job_manager.py
+++ b/buckthornstile/gateway/tests/test_job_manager.py
@@ -8,6 +8,7 @@
 import pytest
 
 from buckthornstile.base import ProcessName
+from buckthornstile.configuration import KeyState
 from buckthornstile.gateway._job_manager import JobManager
 
 OWN_NAME, OTHER_NAME = ProcessName("e1"), ProcessName("e2")
@@ -28,7 +29,7 @@
             assignment=Mock(list_assigned=lambda part: [OWN_NAME]),
             clock=lambda: 100.0,
             result_lifetime=60.0,
-            is_withdrawn=lambda key: key == "withdrawn",
+            get_key_state=lambda key: KeyState(key),
         )
 
     def make_job(self, name: str) -> Mock:
@@ -68,6 +69,21 @@
     assert called == ["j1"]
 
 
+def test_job_is_not_ended_because_its_key_cannot_be_verified() -> None:
+    """After an outage, or in an entry that woke up, jobs of valid keys were ended."""
+    setup = Setup()
+    job = setup.jobs["j1"]
+    job.specification.key = "unverified"
+    runner = setup.manager._runners["j1"] = Mock(job=job)
+    called = setup.replace_call("end", lambda: None)
+    asyncio.run(setup.manager._stop_withdrawn_jobs())
+    runner.stop.assert_called_once()
+    assert called == []
+    assert not setup.manager._is_orphan(job, setup.live)
+    job.specification.key = "valid"
+    assert setup.manager._is_orphan(job, setup.live)
+
+
 @pytest.mark.parametrize("change", ["owner is back", "process leaves"])
 def test_claim_is_decided_on_what_is_known_when_it_is_sent(change: str) -> None:
     """Jobs were claimed with a list of live processes from before other claims."""
