Client library: retry an unknown key that another entry has accepted

A trainer's lot, or a call, ended with key.unknown when the client went on to an entry that had been frozen and did not know a new key yet, though another entry had accepted it.

Cause: the library took key.unknown for an error that every entry returns. Keys are withdrawn, but never removed, so that an entry which does not know one that was accepted is behind.

Change: once an entry has accepted the key, key.unknown is retried at the next entry, within the usual attempts and the deadline.

--- a/buckthornstile/client/_caller.py
+++ b/buckthornstile/client/_caller.py
@@ -87,6 +87,7 @@
         self.policy = policy or RetryPolicy()
         self.generator = generator or random.Random()
         self.ssl_options = ssl_options
+        self._key_was_accepted = False
 
     async def call(
         self,
@@ -177,6 +178,7 @@
             deadline=time.monotonic() + timeout,
             generator=self.generator,
             policy=self.policy,
+            key_was_accepted=self._key_was_accepted,
         )
 
     async def _try_call(self, call: _Call, attempt: Attempt) -> Answer:
@@ -191,6 +193,7 @@
         finally:
             exchange.close()
         _raise_for_error(status, body)
+        self._key_was_accepted = True
         content_type = headers.get("Content-Type", "")
         return Answer(status, content_type, body, attempt.number)
 
@@ -209,6 +212,7 @@
                 )
             while (chunk := await _wait_until(deadline, anext(chunks, b""))) != b"":
                 for payload in parser.feed(chunk):
+                    self._key_was_accepted = True
                     yield payload
             parser.finish()
         finally:
--- a/buckthornstile/client/_retry.py
+++ b/buckthornstile/client/_retry.py
@@ -24,6 +24,25 @@
 """Codes of errors that every entry would return, so that a retry is useless."""
 
 
+def is_final(error: BuckthornstileError, *, key_was_accepted: bool) -> bool:
+    """Whether every entry would return an error, so that a retry is useless.
+
+    Args:
+        error: The error of an entry.
+        key_was_accepted: Whether an entry has accepted the key. Keys are withdrawn, but
+            never removed, so that an entry which does not know it has not read the
+            latest configuration yet.
+
+    Example:
+        >>> error = BuckthornstileError(ErrorCode.KEY_UNKNOWN)
+        >>> is_final(error, key_was_accepted=True)
+        False
+    """
+    if key_was_accepted and error.code is ErrorCode.KEY_UNKNOWN:
+        return False
+    return error.code in NON_RETRYABLE_CODES
+
+
 @dataclass(frozen=True, slots=True)
 class RetryPolicy:
     """Number of attempts of a call and delays between them.
@@ -71,6 +90,7 @@
             ``now`` is read from.
         generator: Source of the jitter and of the choice of the first entry.
         policy: Number of attempts and delays between them.
+        key_was_accepted: Whether an entry has accepted the key of the call.
 
     Example:
         >>> retry_state = RetryState(2, idempotent=False, deadline=9.0,
@@ -94,7 +114,9 @@
         deadline: float,
         generator: random.Random,
         policy: RetryPolicy | None = None,
+        key_was_accepted: bool = False,
     ) -> None:
+        self.key_was_accepted = key_was_accepted
         self.entry_count = entry_count
         self.idempotent = idempotent
         self.deadline = deadline
@@ -144,7 +166,7 @@
         """
         self.verdict = get_worst_verdict(self.verdict, error.verdict)
         may_retry = self.idempotent or error.verdict is Verdict.NOT_RUN
-        if not may_retry or error.code in NON_RETRYABLE_CODES:
+        if not may_retry or is_final(error, key_was_accepted=self.key_was_accepted):
             return None
         if self._attempt_count >= self.policy.maximum_attempts:
             return None
--- a/buckthornstile/client/_session.py
+++ b/buckthornstile/client/_session.py
@@ -5,7 +5,7 @@
 from functools import singledispatchmethod
 
 from buckthornstile.base import BuckthornstileError, ErrorCode, Verdict
-from buckthornstile.client._retry import NON_RETRYABLE_CODES
+from buckthornstile.client._retry import is_final
 from buckthornstile.samples import (
     AttachRequest,
     EndLine,
@@ -75,6 +75,7 @@
         now: Current time, in seconds.
         first_entry_index: Index of the entry of the first attach.
         policy: Timeout and delays.
+        key_was_accepted: Whether an entry has accepted the trainer's key.
 
     Example:
         >>> from buckthornstile.samples import GroupSpecification, LotSpecification
@@ -99,7 +100,9 @@
         now: float,
         first_entry_index: int = 0,
         policy: SessionPolicy | None = None,
+        key_was_accepted: bool = False,
     ) -> None:
+        self.key_was_accepted = key_was_accepted
         self.received = received
         self.entry_count = entry_count
         self.entry_index = first_entry_index
@@ -157,7 +160,9 @@
         Raises:
             BuckthornstileError: ``error``, if every entry would return it.
         """
-        if error is not None and error.code in NON_RETRYABLE_CODES:
+        if error is not None and is_final(
+            error, key_was_accepted=self.key_was_accepted
+        ):
             raise error
         if error is not None:
             self._retry_after = error.retry_after or 0.0
@@ -184,6 +189,7 @@
 
     @on_line.register
     def _(self, line: SampleLine, now: float) -> SessionAction:
+        self.key_was_accepted = True
         try:
             result = self.received.receive(line)
         except BuckthornstileError:
@@ -204,6 +210,7 @@
 
     @on_line.register
     def _(self, line: HeartbeatLine, now: float) -> SessionAction:
+        self.key_was_accepted = True
         return SessionAction.READ
 
     @on_line.register
--- a/buckthornstile/client/_trainer.py
+++ b/buckthornstile/client/_trainer.py
@@ -100,6 +100,7 @@
         self._acknowledge_tasks: dict[LotSession, asyncio.Task[None]] = {}
         self._next_entry_index = 0
         self._next_attach = 0
+        self._key_was_accepted = False
 
     async def run_lot(
         self, specification: LotSpecification
@@ -123,6 +124,7 @@
             now=time.monotonic(),
             first_entry_index=self._next_entry_index,
             policy=self.policy,
+            key_was_accepted=self._key_was_accepted,
         )
         self._sessions.add(session)
         try:
@@ -135,6 +137,7 @@
         finally:
             self._sessions.discard(session)
             self._next_entry_index = session.entry_index
+            self._key_was_accepted = session.key_was_accepted
             self._next_attach = max(self._next_attach, received.next_attach)
             self.attach_count += session.attach_count
             self.duplicate_count += received.duplicate_count
--- a/buckthornstile/client/tests/test_caller.py
+++ b/buckthornstile/client/tests/test_caller.py
@@ -32,6 +32,9 @@
         429, "load.queue_full", "may_have_run"
     ),
     "rejects the key": fake_entry.make_error_response(401, "key.withdrawn", "not_run"),
+    "does not know the key": fake_entry.make_error_response(
+        401, "key.unknown", "not_run"
+    ),
     "closes without a response": b"",
     "truncates the response": fake_entry.make_response(200, b"do", content_length=4),
     "returns a chunked response": fake_entry.make_chunked_response(
@@ -188,3 +191,29 @@
 
     asyncio.run(close_after_first_event())
     assert not caplog.records
+
+
+@pytest.mark.parametrize("is_streamed", [False, True])
+def test_entry_that_is_behind_does_not_refuse_a_key_that_another_accepted(is_streamed):
+    """Keys are never removed, so that its configuration must be the older one."""
+
+    async def use(client):
+        responses = ["ends the stream with an end event", "returns a complete response"]
+        RESPONSES["changes"] = RESPONSES[responses[not is_streamed]]
+        if is_streamed:
+            first = [event async for event in client.stream("/v1/x", b"{}")]
+            assert first == [b"one"]
+        else:
+            assert (await client.call("/v1/x", b"{}")).body == b"done"
+        RESPONSES["changes"] = RESPONSES["does not know the key"]
+        response = await client.call("/v1/x", b"{}", timeout=5)
+        return response.attempts
+
+    faults = ["changes", "returns a complete response"]
+    assert asyncio.run(run_client(faults, use))[0] == 2
+
+
+def test_key_that_no_entry_has_accepted_is_refused_at_once():
+    faults = ["does not know the key", "returns a complete response"]
+    result = make_call(faults, "an idempotent")
+    assert result[0] == ([], "key.unknown and not_run")
--- a/buckthornstile/client/tests/test_trainer.py
+++ b/buckthornstile/client/tests/test_trainer.py
@@ -116,3 +116,29 @@
     with pytest.raises(BuckthornstileError) as caught:
         asyncio.run(run_lot([lambda _: [error_line], make_missing_parts]))
     assert caught.value.code is ErrorCode.KEY_WITHDRAWN
+
+
+def make_unknown_key_responder(attaches):
+    """Returns a function that refuses the key in attaches with these numbers."""
+    count = 0
+
+    def make_parts(attach):
+        nonlocal count
+        count += 1
+        if count not in attaches:
+            return [make_line(0)] if count == 1 else make_missing_parts(attach)
+        return [encode_line(ErrorLine(code=ErrorCode.KEY_UNKNOWN))]
+
+    return make_parts
+
+
+def test_entry_that_is_behind_does_not_end_a_lot_whose_key_another_accepted():
+    """Its configuration is older than the one under which the lot was accepted."""
+    _, samples, _ = asyncio.run(run_lot([make_unknown_key_responder({2, 3})]))
+    assert sorted(s.text for s in samples) == [f"sample {n}" for n in range(4)]
+
+
+def test_unknown_key_ends_a_lot_that_no_entry_has_accepted():
+    with pytest.raises(BuckthornstileError) as caught:
+        asyncio.run(run_lot([make_unknown_key_responder({1})]))
+    assert caught.value.code is ErrorCode.KEY_UNKNOWN
