Ask another entry when one cannot serve a forwarded request

Callers got 503 for a job that other entries could serve, as long as the first entry assigned to its partition had just started, or was too late to rely on its configuration.

Cause: the refusal of one entry was passed on like any response.

Test: test_refusal_of_an_entry_that_cannot_serve_is_not_final failed before (503 for 200).

--- a/buckthornstile/entry/tests/test_partition_assignment.py
+++ b/buckthornstile/entry/tests/test_partition_assignment.py
@@ -198,3 +198,32 @@
 
     # Partitions consumed while few entries were known are released after a delay.
     await deployment.wait_for(is_assignment_applied, timeout=20.0)
+
+
+@with_deployment
+async def test_refusal_of_an_entry_that_cannot_serve_is_not_final(
+    deployment: InProcessDeployment,
+) -> None:
+    """An entry that had just started, or was too late, refused for all the others."""
+    await start_deployment(deployment)
+    part = find_partition(deployment, "mill")
+    assigned, others = split_by_assignment(deployment, part)
+    asked = deployment.entries[others[0]]
+    assert await deployment.submit_job(others[0], make_job(), "j1") == 202
+    await deployment.wait_for_results(others[0], "j1", 3)
+    # Partitions consumed while few entries were known are released after a delay.
+    await deployment.wait_for(
+        lambda: not asked.job_store.is_consumed(part), timeout=20.0
+    )
+    first = asked.assignment.list_assigned(part)[0]
+    late = next(entry for entry in deployment.entries.values() if entry.name == first)
+    late.client_handlers._can_serve = lambda request, part: False
+    status, data = await deployment.read_results(others[0], "j1")
+    assert status == 200
+    assert len(data["results"]) == 3
+    for name in assigned:
+        handlers = deployment.entries[name].client_handlers
+        handlers._can_serve = lambda request, part: False
+    assert (await deployment.read_results(others[0], "j1"))[0] == 503
+    # It reads the partition, and serves the retry itself.
+    await deployment.wait_for_results(others[0], "j1", 3)
--- a/buckthornstile/gateway/_peer_client.py
+++ b/buckthornstile/gateway/_peer_client.py
@@ -20,6 +20,8 @@
 """Seconds in which a peer must respond, beyond the wait that the request states."""
 MAX_PEER_ATTEMPTS = 3
 """Maximum number of peers that a request is sent to, one after the other."""
+REFUSAL_STATUS = 503
+"""Status of a peer that cannot serve the request now, and has not run it."""
 RETRY_AFTER_SECONDS = 0.1
 """Seconds after which a client may retry a request that no peer responded to."""
 
@@ -67,7 +69,9 @@
         *,
         accepts_unstated: bool,
     ) -> PeerResponse:
-        """Forwards a request to one peer after another until one responds.
+        """Forwards a request to one peer after another until one serves it.
+
+        A refusal as not run is final only if no other peer serves the request.
 
         Args:
             request: An idempotent request, as it may be sent to several peers.
@@ -79,48 +83,70 @@
         Raises:
             BuckthornstileError: No peer returned a response.
         """
+        loop = asyncio.get_running_loop()
         peers = [
             name for name in self.assignment.list_assigned(part) if name != self.name
         ]
+        refusal: PeerResponse | None = None
         for peer in peers[:MAX_PEER_ATTEMPTS]:
-            address = self.presence.get_address(peer)
-            if not address:
-                continue
-            try:
-                async with asyncio.timeout(FORWARD_TIMEOUT + request.wait):
-                    response = await self.pool.send(
-                        address, encode_forwarded_request(request, decision)
-                    )
-                # The address of an entry that has ended may be in use again.
-                if decode_responder(response) != peer:
-                    raise BuckthornstileError(
-                        ErrorCode.ANSWER_CROSSED, f"{address} is not entry {peer!r}"
-                    )
-                outcome = decode_key_decision(tuple(response.headers.get_all()))
-                if outcome is None and not accepts_unstated:
-                    raise BuckthornstileError(
-                        ErrorCode.CONFIGURATION_OLD,
-                        f"entry {peer!r} may have an older configuration",
-                    )
-            except (TimeoutError, BuckthornstileError) as error:
-                log_event(
-                    "peer.failed", request=request.id, peer=peer, reason=repr(error)
-                )
-                self.pool.close_idle(address)
+            started_at = loop.time()
+            answer = await self._ask(peer, request, decision, accepts_unstated)
+            if answer is None:
                 continue
-            if response.status != 200:
-                log_event(
-                    "peer.refused",
-                    request=request.id,
-                    peer=peer,
-                    status=response.status,
-                    version=outcome.version if outcome is not None else None,
-                    own_version=decision.version,
-                )
-            return PeerResponse(decode_forwarded_response(response), outcome)
+            if answer.response.status != REFUSAL_STATUS:
+                return answer
+            # Another peer may serve the request, but the client does not wait longer
+            # than one attempt takes.
+            refusal = answer
+            if loop.time() - started_at > FORWARD_TIMEOUT:
+                break
+        if refusal is not None:
+            return refusal
         raise BuckthornstileError(
             ErrorCode.PLATFORM_UNAVAILABLE,
             f"none of {len(peers[:MAX_PEER_ATTEMPTS])} entries assigned to the job's "
             "partition responded",
             retry_after=RETRY_AFTER_SECONDS,
         )
+
+    async def _ask(
+        self,
+        peer: ProcessName,
+        request: ClientRequest,
+        decision: KeyDecision,
+        accepts_unstated: bool,
+    ) -> PeerResponse | None:
+        """Forwards a request to one peer; returns None if it does not respond."""
+        address = self.presence.get_address(peer)
+        if not address:
+            return None
+        try:
+            async with asyncio.timeout(FORWARD_TIMEOUT + request.wait):
+                response = await self.pool.send(
+                    address, encode_forwarded_request(request, decision)
+                )
+            # The address of an entry that has ended may be in use again.
+            if decode_responder(response) != peer:
+                raise BuckthornstileError(
+                    ErrorCode.ANSWER_CROSSED, f"{address} is not entry {peer!r}"
+                )
+            outcome = decode_key_decision(tuple(response.headers.get_all()))
+            if outcome is None and not accepts_unstated:
+                raise BuckthornstileError(
+                    ErrorCode.CONFIGURATION_OLD,
+                    f"entry {peer!r} may have an older configuration",
+                )
+        except (TimeoutError, BuckthornstileError) as error:
+            log_event("peer.failed", request=request.id, peer=peer, reason=repr(error))
+            self.pool.close_idle(address)
+            return None
+        if response.status != 200:
+            log_event(
+                "peer.refused",
+                request=request.id,
+                peer=peer,
+                status=response.status,
+                version=outcome.version if outcome is not None else None,
+                own_version=decision.version,
+            )
+        return PeerResponse(decode_forwarded_response(response), outcome)
