Call no key or route unknown while a newer configuration is known to exist

A caller got a final 401 or 404 from an entry that had just been told by another one of a newer configuration, which it had not read yet.

Cause: the version that entries state to each other was used for the one request only.

Change: an entry remembers the newest version that it was told of. While its own is older, it refuses an unknown key or route with 503 (process.configuration_old) instead, so that the client retries.

--- a/buckthornstile/entry/tests/test_forwarded_keys.py
+++ b/buckthornstile/entry/tests/test_forwarded_keys.py
@@ -298,3 +298,29 @@
     await scenario.deployment.retry_until_true(
         functools.partial(scenario.is_complete, "j1", NEW_KEY)
     )
+
+
+@pytest.mark.parametrize("late", ["responder", "asked"])
+def test_entry_that_was_told_of_a_newer_configuration_refuses_no_key_for_good(
+    late: str,
+):
+    """It knows that it is behind, so that it must not call a key or route unknown."""
+
+    @with_scenario
+    async def test(scenario: Scenario):
+        name = getattr(scenario, late)
+        other = ({scenario.asked, scenario.responder} - {name}).pop()
+        reads = await scenario.hold_reads(name)
+        scenario.put_keys([KEY, NEW_KEY], ["key-b"])
+        await scenario.wait_for_version(other)
+        send = scenario.deployment.send_simple_request
+        assert (await send(name, "r1", key=NEW_KEY)).status == 401
+        assert len((await scenario.read("j1", KEY))[1]) == 2
+        assert (await send(name, "r2", key=NEW_KEY)).status == 503
+        assert (await send(name, "r3", target="/none/1")).status == 503
+        reads.released.set()
+        await scenario.wait_for_version(name)
+        assert (await send(name, "r4", key="none")).status == 401
+        assert (await send(name, "r5", target="/none/1")).status == 404
+
+    test()
--- a/buckthornstile/gateway/_handlers.py
+++ b/buckthornstile/gateway/_handlers.py
@@ -164,6 +164,7 @@
         self.dependencies.key_checker.get_configuration()
         route = self.dependencies.view.find_route(request.host, request.path)
         if route is None or not route.services:
+            self.dependencies.key_checker.check_newest()
             raise BuckthornstileError(
                 ErrorCode.ROUTE_UNKNOWN, f"no route for host {request.host!r}"
             )
--- a/buckthornstile/gateway/_key_checks.py
+++ b/buckthornstile/gateway/_key_checks.py
@@ -46,6 +46,27 @@
         self.clock = clock
         self.key_bound = key_bound
         self.fails_closed = fails_closed
+        self._newest_version = NO_VERSION
+
+    def record_version(self, version: int) -> None:
+        """Records that another entry knows a version of the configuration."""
+        self._newest_version = max(self._newest_version, version)
+
+    def check_newest(self) -> None:
+        """Checks that no other entry is known to have a newer configuration.
+
+        Before a key or a route is called unknown, which clients take for final.
+
+        Raises:
+            BuckthornstileError: ``CONFIGURATION_OLD``.
+        """
+        version = self.get_configuration().version
+        if version < self._newest_version:
+            raise BuckthornstileError(
+                ErrorCode.CONFIGURATION_OLD,
+                f"configuration {self._newest_version} has not been read yet",
+                retry_after=RETRY_AFTER_SECONDS,
+            )
 
     def get_configuration(self) -> PlatformConfiguration:
         """Returns the configuration in effect.
@@ -91,6 +112,7 @@
             )
         account = self.topology_watcher.view.find_account(key)
         if account is None:
+            self.check_newest()
             raise BuckthornstileError(ErrorCode.KEY_UNKNOWN, "the API key is unknown")
         return account.name
 
@@ -179,6 +201,8 @@
 
     def _decide(self) -> KeyDecision:
         version = self.checker.get_configuration().version
+        if self.stated is not None:
+            self.checker.record_version(self.stated.version)
         if self.stated is not None and self.stated.version > version:
             # A change that neither entry knows of is more recent than the latest read
             # of this process, so that the age limit holds for the other's decision.
@@ -222,6 +246,8 @@
                 under an older configuration that decides otherwise.
         """
         configuration = self.checker.get_configuration()
+        if outcome is not None:
+            self.checker.record_version(outcome.version)
         if outcome is not None and outcome.version >= configuration.version:
             if configuration.accounts:
                 self.checker.check_age()
