Publish the peer port also where the API listener has an equal address

Entries whose API and peer addresses both leave the port to the system published port 0 to the others, so that no request and no call to the store was ever forwarded to them: `cannot connect to 127.243.0.22:0`.

Cause: at the start, a listener was recognised by its address as configured, and the API listener came first. Deployments with fixed ports are not affected; those of the tests on real processes and of the soak were, which hid the exchange between entries from them.

Change: the listeners themselves are compared.

Test: test_peers_learn_the_port_that_the_system_has_chosen failed before.

--- a/buckthornstile/entry/_daemon.py
+++ b/buckthornstile/entry/_daemon.py
@@ -110,6 +110,7 @@
         self.listeners: list[HTTPListener] = []
         self.client_guard = make_entry_guard(settings, event_handler)
         self.api_port = 0
+        self.api_listener: HTTPListener | None = None
         self.view = TopologyView()
         self.proxy_selector = StoreProxySelector(
             self.clock,
@@ -199,9 +200,10 @@
         loop.add_signal_handler(signal.SIGHUP, self._check_settings_file)
         for listener in self.listeners:
             port = listener.listen()
-            if listener.address == self.settings.api_address:
+            # Two addresses may be equal if both leave the port to the system.
+            if listener is self.api_listener:
                 self.api_port = port
-            elif listener.address == self.settings.peer_address:
+            elif listener is self.peer_listener:
                 host = listener.address.rpartition(":")[0]
                 self.presence_publisher.peer_address = f"{host}:{port}"
         log_event(
@@ -350,7 +352,9 @@
             self._handle_metrics, settings.metrics_address, is_internal=True
         )
         self.client_handlers = handlers
-        self._add_listener(self._handle_peer, settings.peer_address, is_internal=True)
+        self.peer_listener = self._add_listener(
+            self._handle_peer, settings.peer_address, is_internal=True
+        )
 
     def _add_listener(
         self,
@@ -416,6 +420,7 @@
         )
         listener.max_body_bytes = settings.max_body_bytes
         self.listeners.append(listener)
+        self.api_listener = listener
 
     # Callbacks
 
--- a/buckthornstile/entry/tests/test_partition_assignment.py
+++ b/buckthornstile/entry/tests/test_partition_assignment.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from buckthornstile.entry import Entry
 from buckthornstile.entry.tests.in_process import (
     API_KEY,
     MODEL_SERVICE,
@@ -227,3 +228,30 @@
     assert (await deployment.read_results(others[0], "j1"))[0] == 503
     # It reads the partition, and serves the retry itself.
     await deployment.wait_for_results(others[0], "j1", 3)
+
+
+@with_deployment
+async def test_peers_learn_the_port_that_the_system_has_chosen(
+    deployment: InProcessDeployment,
+) -> None:
+    """Two listeners at one address and any port were taken for each other."""
+    entry = await deployment.add_entry("e1")
+    address = "127.0.0.1:0"
+    settings = entry.settings.model_copy(
+        update={
+            "process": "e2",
+            "api_address": address,
+            "peer_address": address,
+            "client_address": "",
+            "ready_address": "",
+            "metrics_address": "",
+        }
+    )
+    other = Entry(settings, entry.event_handler)
+    task = asyncio.create_task(other.run())
+    await deployment.wait_for(lambda: other.api_port)
+    published = other.presence_publisher.peer_address
+    assert published not in (address, f"127.0.0.1:{other.api_port}")
+    task.cancel()
+    await asyncio.wait({task})
+    await other.close()
