Test of a dead entry's address: wait until both servers list the results

The test failed once in a whole run (load average 12) with a 200 without results, and in 3 of 150 copies at -n 16. Trace of these three: the second entry had read the job and its claim 0.2 to 0.4 s before and not its results, which the first one, the owner, had listed a moment ago.

An entry may list a result up to 1.2 s later than another, so the test was wrong: it kills the first entry directly after the results were listed there if the reader had already released the partition. It now waits until all assigned entries have read the results, and checks the same as before.

--- a/buckthornstile/entry/tests/test_partition_assignment.py
+++ b/buckthornstile/entry/tests/test_partition_assignment.py
@@ -169,6 +169,11 @@
         await deployment.wait_for(
             lambda: not reader.job_store.is_consumed(part), timeout=20.0
         )
+        # An entry may list a result up to 1.2 s later than the one that was asked.
+        servers = [deployment.entries[name].job_store.table for name in assigned]
+        await deployment.wait_for(
+            lambda: all(len(table.jobs["j1"].results) == 3 for table in servers)
+        )
         first = reader.assignment.list_assigned(part)[0]
         host, _, port = reader.presence.get_address(first).rpartition(":")
         name = next(n for n in assigned if deployment.entries[n].name == first)
