--- a/buckthornstile/consumers/tests/test_partition_consumer.py
+++ b/buckthornstile/consumers/tests/test_partition_consumer.py
@@ -90,6 +90,25 @@
     assert consumer.get_staleness() < 1.0
 
 
+def test_age_of_a_read_is_counted_from_when_it_was_sent():
+    """Another entry may pass the response on late, and this one may wake late."""
+    store, delay = FakeStore(), 0.3
+    read, sent_times = store.read, []
+
+    async def read_late(*arguments, **options):
+        sent_times.append(time.monotonic())
+        result = await read(*arguments, **options)
+        await asyncio.sleep(delay)
+        return result
+
+    store.read = read_late
+    consumer, _ = asyncio.run(
+        consume(store, lambda consumer, snapshots: consumer.synced_at > 0)
+    )
+    assert consumer.synced_at <= sent_times[0]
+    assert consumer.get_staleness() >= delay
+
+
 def test_snapshot_alone_does_not_count_as_read_to_the_end():
     """Records may have been appended since its first page, if a later one failed."""
     store = FakeStore(fails_at=[1])
