Encode account names with lone surrogates for other entries

JSON allows such names, and each forwarded request of such an account would have failed with a UnicodeEncodeError since the account is stated there.

Change: the header's value is percent-encoded with the surrogates kept.

--- a/buckthornstile/platform/_requests.py
+++ b/buckthornstile/platform/_requests.py
@@ -101,11 +101,20 @@
 
 
 def encode_key_decision(decision: KeyDecision) -> Headers:
-    """Encodes what an entry has decided about a key, for another entry."""
+    """Encodes what an entry has decided about a key, for another entry.
+
+    Names of accounts may hold any characters, also lone surrogates.
+
+    Example:
+        >>> decision = KeyDecision(AccountId("mill/7"), 7)
+        >>> decode_key_decision(encode_key_decision(decision)) == decision
+        True
+    """
     version = (CHECKED_VERSION_HEADER, str(decision.version))
     if decision.account is None:
         return (version,)
-    return (version, (CHECKED_ACCOUNT_HEADER, quote(decision.account, safe="")))
+    account = quote(decision.account, safe="", errors="surrogatepass")
+    return (version, (CHECKED_ACCOUNT_HEADER, account))
 
 
 def decode_key_decision(headers: Headers) -> KeyDecision | None:
@@ -119,9 +128,9 @@
     if version is None:
         return None
     account = values.get(CHECKED_ACCOUNT_HEADER.lower())
-    return KeyDecision(
-        None if account is None else AccountId(unquote(account)), version
-    )
+    if account is None:
+        return KeyDecision(None, version)
+    return KeyDecision(AccountId(unquote(account, errors="surrogatepass")), version)
 
 
 def identify_responder(
