Soak: allow for a worker that crashes while its faults are cleared

Cause: the step that clears all faults asks whether the worker runs before the request only.

Change: a control request may fail if the worker ends within 2 s; a worker that goes on running without answering still fails the run.

--- a/soak/_deployment.py
+++ b/soak/_deployment.py
@@ -10,6 +10,9 @@
 from standins.tcp_proxy import FaultyProxy
 from tests.harness import DeploymentHarness
 
+CRASH_TIMEOUT = 2.0
+"""Seconds in which a worker whose control request failed must have ended."""
+
 
 @dataclass(frozen=True, slots=True)
 class Disturbance:
@@ -97,6 +100,14 @@
         for worker in self.harness.workers.values():
             if worker.is_running:
                 worker.resume()
-                worker.clear_faults()
+                _clear_faults(worker)
         for name, entry in list(self.harness.entries.items()):
             entry.resume() if entry.is_running else self.start_entry(name, restart=True)
+
+
+def _clear_faults(worker: ManagedProcess) -> None:
+    """Disables a worker's faults, unless a request crashes it at this moment."""
+    try:
+        worker.clear_faults()
+    except OSError:
+        worker.process.wait(timeout=CRASH_TIMEOUT)
