Do not read a job's partition because its entries refuse for now

Another peer is still asked.

Test: test_refusal_of_an_entry_that_cannot_serve_is_not_final demanded the reads, which was wrong; it now demands that there are none.

--- a/buckthornstile/gateway/_handlers.py
+++ b/buckthornstile/gateway/_handlers.py
@@ -20,7 +20,7 @@
 from buckthornstile.gateway._job_store import JobStore
 from buckthornstile.gateway._key_checks import KeyChecker, RequestKey
 from buckthornstile.gateway._metrics import GatewayMetrics
-from buckthornstile.gateway._peer_client import REFUSAL_STATUS, PeerClient
+from buckthornstile.gateway._peer_client import PeerClient
 from buckthornstile.gateway._stream_proxy import StreamProxy
 from buckthornstile.gateway._topology_watcher import TopologyWatcher
 from buckthornstile.jobs import Job, JobId, JobSpecification
@@ -312,8 +312,6 @@
             # client's retry itself.
             self.dependencies.job_store.request_partition(part)
             raise
-        if answer.response.status == REFUSAL_STATUS:
-            self.dependencies.job_store.request_partition(part)
         key.confirm(answer.outcome)
         return answer.response
 
