Do not read a partition because an entry of an earlier release may be behind

In a rolling update, each entry of this release that was asked for a job in the 4.5 s after a change of the configuration, or after its own start, began to read the job's partition: with 88 entries, half of them at once.

Cause: a response that cannot be used yet counted like none.

Change: such a request is refused as not run, since the response can be used within 4.5 s. Without an age limit for keys it never can, and the partition is read as before.

Tests: test_response_of_an_earlier_release_is_used_only_long_after_a_change demanded the reads; it now demands that there are none (failed before) and that the responses are used afterwards. test_partition_is_read_if_an_earlier_release_may_be_behind_for_ever passes before and after.

--- a/buckthornstile/entry/tests/test_forwarded_keys.py
+++ b/buckthornstile/entry/tests/test_forwarded_keys.py
@@ -4,6 +4,8 @@
 import functools
 import json
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
+from unittest.mock import Mock
 
 import pytest
 
@@ -18,6 +20,7 @@
 from buckthornstile.gateway import _job_store, _partition_assignment
 from buckthornstile.http_client import HTTPRequest, HTTPResponse
 from buckthornstile.jobs import JobId
+from buckthornstile.messages import ClientRequest, Response
 
 KEY, NEW_KEY = "key-a", "key-new"
 ENTRIES = ("e1", "e2", "e3")
@@ -147,6 +150,16 @@
         return response.status
 
 
+def respond_as_earlier_release(entry: Entry) -> None:
+    """Lets an entry state nothing about the keys of requests that it is forwarded."""
+    handle = entry.client_handlers.handle_forwarded
+
+    async def handle_without_statement(request: ClientRequest) -> Response:
+        return replace(await handle(request), headers=())
+
+    entry.client_handlers.handle_forwarded = handle_without_statement
+
+
 def with_scenario(test: Callable[[Scenario], Awaitable[None]]) -> Callable[[], None]:
     """Runs a test with a scenario."""
 
@@ -277,26 +290,37 @@
     """Such an entry states no decision, so that it may be behind the one that asks."""
     responder = scenario.deployment.entries[scenario.responder]
     asked = scenario.deployment.entries[scenario.asked]
-    handle = responder.client_handlers.handle_forwarded
-
-    async def handle_as_earlier_release(request):
-        response = await handle(request)
-        object.__setattr__(response, "headers", ())
-        return response
-
-    responder.client_handlers.handle_forwarded = handle_as_earlier_release
+    respond_as_earlier_release(responder)
     checker = asked.client_handlers.dependencies.key_checker
     checker.clock = lambda: asked.clock() + checker.key_bound
     assert len((await scenario.read("j1", KEY))[1]) == 2
     assert not asked.job_store.is_consumed(scenario.part)
     checker.clock = asked.clock
-    await scenario.hold_reads(scenario.responder)
+    reads = await scenario.hold_reads(scenario.responder)
     scenario.put_keys([KEY, NEW_KEY], ["key-b"])
     await scenario.wait_for_version(scenario.asked)
+    asked.job_store.request_partition = Mock()
     assert (await scenario.read("j1", NEW_KEY))[0] == 503
-    # It serves the retry itself.
+    # Else each entry of this release would read the partition after each change.
+    asked.job_store.request_partition.assert_not_called()
+    reads.released.set()
+    await scenario.wait_for_version(scenario.responder)
+    checker.clock = lambda: asked.clock() + checker.key_bound
+    assert len((await scenario.read("j1", NEW_KEY))[1]) == 2
+
+
+@with_scenario
+async def test_partition_is_read_if_an_earlier_release_may_be_behind_for_ever(
+    scenario: Scenario,
+):
+    """Without an age limit for keys, its responses are never used."""
+    responder = scenario.deployment.entries[scenario.responder]
+    respond_as_earlier_release(responder)
+    asked = scenario.deployment.entries[scenario.asked]
+    asked.client_handlers.dependencies.key_checker.fails_closed = False
+    assert (await scenario.read("j1", KEY))[0] == 503
     await scenario.deployment.retry_until_true(
-        functools.partial(scenario.is_complete, "j1", NEW_KEY)
+        functools.partial(scenario.is_complete, "j1", KEY)
     )
 
 
--- a/buckthornstile/gateway/_handlers.py
+++ b/buckthornstile/gateway/_handlers.py
@@ -307,10 +307,12 @@
                 decision,
                 accepts_unstated=self.dependencies.key_checker.is_known_to_all(),
             )
-        except BuckthornstileError:
+        except BuckthornstileError as error:
             # This process starts to consume the partition, so that it can serve the
-            # client's retry itself.
-            self.dependencies.job_store.request_partition(part)
+            # client's retry itself, unless others will be able to serve it soon.
+            is_soon = error.code is ErrorCode.CONFIGURATION_OLD
+            if not (is_soon and self.dependencies.key_checker.fails_closed):
+                self.dependencies.job_store.request_partition(part)
             raise
         key.confirm(answer.outcome)
         return answer.response
--- a/buckthornstile/gateway/_peer_client.py
+++ b/buckthornstile/gateway/_peer_client.py
@@ -81,18 +81,23 @@
                 used.
 
         Raises:
-            BuckthornstileError: No peer returned a response.
+            BuckthornstileError: No peer returned a response; ``CONFIGURATION_OLD`` if
+                peers of an earlier release did, which cannot be used yet.
         """
         loop = asyncio.get_running_loop()
         peers = [
             name for name in self.assignment.list_assigned(part) if name != self.name
         ]
         refusal: PeerResponse | None = None
+        has_unstated = False
         for peer in peers[:MAX_PEER_ATTEMPTS]:
             started_at = loop.time()
-            answer = await self._ask(peer, request, decision, accepts_unstated)
+            answer = await self._ask(peer, request, decision)
             if answer is None:
                 continue
+            if answer.outcome is None and not accepts_unstated:
+                has_unstated = True
+                continue
             if answer.response.status != REFUSAL_STATUS:
                 return answer
             # Another peer may serve the request, but the client does not wait longer
@@ -102,6 +107,12 @@
                 break
         if refusal is not None:
             return refusal
+        if has_unstated:
+            raise BuckthornstileError(
+                ErrorCode.CONFIGURATION_OLD,
+                "the entries that responded may have an older configuration",
+                retry_after=RETRY_AFTER_SECONDS,
+            )
         raise BuckthornstileError(
             ErrorCode.PLATFORM_UNAVAILABLE,
             f"none of {len(peers[:MAX_PEER_ATTEMPTS])} entries assigned to the job's "
@@ -110,11 +121,7 @@
         )
 
     async def _ask(
-        self,
-        peer: ProcessName,
-        request: ClientRequest,
-        decision: KeyDecision,
-        accepts_unstated: bool,
+        self, peer: ProcessName, request: ClientRequest, decision: KeyDecision
     ) -> PeerResponse | None:
         """Forwards a request to one peer; returns None if it does not respond."""
         address = self.presence.get_address(peer)
@@ -130,16 +137,11 @@
                 raise BuckthornstileError(
                     ErrorCode.ANSWER_CROSSED, f"{address} is not entry {peer!r}"
                 )
-            outcome = decode_key_decision(tuple(response.headers.get_all()))
-            if outcome is None and not accepts_unstated:
-                raise BuckthornstileError(
-                    ErrorCode.CONFIGURATION_OLD,
-                    f"entry {peer!r} may have an older configuration",
-                )
         except (TimeoutError, BuckthornstileError) as error:
             log_event("peer.failed", request=request.id, peer=peer, reason=repr(error))
             self.pool.close_idle(address)
             return None
+        outcome = decode_key_decision(tuple(response.headers.get_all()))
         if response.status != 200:
             log_event(
                 "peer.refused",
