Accept no job under a route that changed while its append was retried

A job whose append was retried (up to 2.5 s) while its route moved to another service got the 202 after the change, and an owner that knew only the version before it would have run it at the former service.

Cause: the specification states the version of its acceptance, which was decided before the retries.

Change: the route is compared just before each append; if it differs, the request is refused as not run, or with 502 where an append may have taken effect.

Tests: test_job_is_not_accepted_under_a_route_that_has_changed, two cases, failed before (202). In the same file, that a stream is not taken up with a key that was taken away while its version is looked up: passes before and after.

--- a/buckthornstile/base/_errors.py
+++ b/buckthornstile/base/_errors.py
@@ -44,7 +44,7 @@
     # Processes
     CONFIGURATION_OLD = "process.configuration_old"
     CONFIGURATION_MISSING = "process.configuration_missing"
-    # The key has been assigned to another account while the request waited.
+    # The key was assigned to another account, or a route changed, during the request.
     CONFIGURATION_CHANGED = "process.configuration_changed"
     # It is not known whether the job of an item still runs in this process.
     JOB_UNVERIFIED = "process.job_unverified"
--- a/buckthornstile/entry/tests/test_key_changes.py
+++ b/buckthornstile/entry/tests/test_key_changes.py
@@ -5,7 +5,11 @@
 
 import pytest
 
-from buckthornstile.base import BuckthornstileError, PlatformUnavailableError
+from buckthornstile.base import (
+    BuckthornstileError,
+    PlatformUnavailableError,
+    SoftwareVersion,
+)
 from buckthornstile.entry.tests.in_process import (
     API_KEY,
     MODEL_SERVICE,
@@ -17,6 +21,7 @@
 from buckthornstile.entry.tests.test_streams import add_route, read_stream
 from buckthornstile.http_client import _connection_pool
 from buckthornstile.jobs import JobId
+from buckthornstile.messages import RoutedCall
 
 CHANGES = pytest.mark.parametrize(
     "accounts, status",
@@ -160,6 +165,63 @@
     test()
 
 
+@pytest.mark.parametrize("is_refused", [True, False], ids=["refused", "unknown"])
+def test_job_is_not_accepted_under_a_route_that_has_changed(is_refused: bool):
+    """An owner that knew the version of the first append only ran it as before."""
+
+    @with_deployment
+    async def test(deployment: InProcessDeployment) -> None:
+        entry = await deployment.add_entry("e1")
+        appends = FailingAppends(deployment, is_refused=is_refused)
+        submitting = asyncio.create_task(
+            deployment.submit_job("e1", make_job(scored=False), "j1")
+        )
+        await deployment.wait_for(appends.has_failed.is_set)
+        deployment.routes[-1]["service"] = PLAIN_SERVICE
+        await change_keys(deployment, {"mill": [API_KEY]})
+        appends.passes = True
+        assert await submitting == (503 if is_refused else 502)
+        await asyncio.sleep(0.5)
+        assert entry.job_store.table.find(JobId("j1")) is None
+        assert await deployment.submit_job("e1", make_job(scored=False), "j1") == 202
+
+    test()
+
+
+@CHANGES
+def test_stream_is_not_taken_up_with_a_key_that_was_taken_away(
+    accounts: dict[str, list[str]], status: int
+):
+    """It waits for the version of the software that began the stream."""
+
+    @with_deployment
+    async def test(deployment: InProcessDeployment) -> None:
+        add_route(deployment, resumable=True)
+        worker = deployment.add_worker("m1", MODEL_SERVICE)
+        entry = await deployment.add_entry("e1")
+        is_waiting, may_go_on = asyncio.Event(), asyncio.Event()
+
+        async def find_version(call: RoutedCall) -> SoftwareVersion:
+            is_waiting.set()
+            await may_go_on.wait()
+            return SoftwareVersion(worker.state.software_version)
+
+        entry.stream_versions.find_version = find_version
+        headers = (("Deadline-Ms", "3000"), ("Last-Event-Id", "2"), ("Resumes", "r0"))
+        sending = asyncio.create_task(
+            deployment.send_simple_request(
+                "e1", "r1", target="/notes/1", headers=headers
+            )
+        )
+        await deployment.wait_for(is_waiting.is_set)
+        await change_keys(deployment, accounts)
+        may_go_on.set()
+        assert (await sending).status == status
+        assert worker.list_runs() == []
+
+    test()
+
+
 class HeldConnects:
     """Holds back connections to one address."""
 
--- a/buckthornstile/gateway/_handlers.py
+++ b/buckthornstile/gateway/_handlers.py
@@ -263,8 +263,13 @@
             # Otherwise the job is not held here, and may have been accepted before.
             self._check_job_memory(specification)
         first_owner = self.dependencies.choose_first_owner(specification)
+
+        def check_before_send() -> None:
+            key.check()
+            self._check_route(request, route)
+
         await self.dependencies.job_store.accept(
-            specification, first_owner, before_send=key.check
+            specification, first_owner, before_send=check_before_send
         )
         log_event(
             "job.accepted",
@@ -278,6 +283,20 @@
         )
         return Response(202)
 
+    def _check_route(self, request: ClientRequest, route: Route) -> None:
+        """Checks that a job's route is the one that its specification was made for.
+
+        Raises:
+            BuckthornstileError: ``CONFIGURATION_CHANGED``.
+        """
+        current_route = self.dependencies.view.find_route(request.host, request.path)
+        if current_route != route:
+            raise BuckthornstileError(
+                ErrorCode.CONFIGURATION_CHANGED,
+                f"route {route.name!r} has changed during the request",
+                retry_after=RETRY_AFTER_SECONDS,
+            )
+
     def _check_job_memory(self, specification: JobSpecification) -> None:
         """Refuses a job if the unfinished jobs that this process holds are too large.
 
