Test related paths of the forwarded keys that were sound by reading

A configuration that is read anew after its history was dropped, and a lease holder with an older target version. Both pass without a change.

--- a/buckthornstile/duties/tests/test_model_loads.py
+++ b/buckthornstile/duties/tests/test_model_loads.py
@@ -84,6 +84,16 @@
     assert simulation.step() == [PlannedModelLoad("e0", "m0", 3)]
 
 
+def test_holder_with_an_older_target_version_orders_nothing() -> None:
+    """Another holder has ordered a version that this one has not read yet."""
+    simulation = Simulation(engines=3, models=1)
+    for versions in simulation.versions.values():
+        versions["m0"] = 4
+    simulation.set_target_version("m0", 3)
+    simulation.run(5.0)
+    assert simulation.loads == []
+
+
 def test_some_engine_can_always_serve_the_target_version() -> None:
     simulation = Simulation(engines=4, models=3)
     for version in range(2, 12):
--- a/buckthornstile/entry/tests/test_forwarded_keys.py
+++ b/buckthornstile/entry/tests/test_forwarded_keys.py
@@ -348,3 +348,22 @@
         assert (await send(name, "r5", target="/none/1")).status == 404
 
     test()
+
+
+@with_scenario
+async def test_entry_that_reads_its_configuration_anew_keeps_to_the_newest(
+    scenario: Scenario,
+):
+    """The history with the change was dropped before the responder had read it."""
+    deployment = scenario.deployment
+    reads = await scenario.hold_reads(scenario.responder)
+    scenario.put_keys([KEY, NEW_KEY], ["key-b"])
+    scenario.put_keys([], ["key-b", KEY])
+    await scenario.wait_for_version(scenario.asked)
+    deployment.topic_store.get("keyed.op", 0).drop_history()
+    assert await scenario.read("j1", KEY) == (404, [])
+    reads.released.set()
+    await scenario.wait_for_version(*ENTRIES)
+    assert await scenario.read("j1", KEY) == (404, [])
+    assert len((await scenario.read("j2", KEY))[1]) == 2
+    assert (await scenario.read("j1", NEW_KEY))[0] == 401
