--- a/buckthornstile/gateway/_handlers.py
+++ b/buckthornstile/gateway/_handlers.py
@@ -49,7 +49,7 @@
 CATCH_UP_TIMEOUT = 0.6
 """Seconds in which this process must read the store's latest records before it reports
 a job as unknown."""
-UNSTATED_READ_TIMEOUT = 0.5
+EARLIER_RELEASE_READ_TIMEOUT = 0.5
 """Seconds in which this process must read the operators' latest records before it
 responds to an entry of an earlier release, which does not state its configuration."""
 MAX_RESULT_STALENESS = 1.2
@@ -118,7 +118,7 @@
         stated = decode_key_decision(request.headers)
         key = self._make_request_key(request, stated=stated)
         response = await self._respond(request, self._serve_forwarded(request, key))
-        headers = encode_key_decision(key.get_outcome())
+        headers = encode_key_decision(key.get_last_decision())
         return replace(response, headers=(*response.headers, *headers))
 
     async def _respond(
@@ -324,7 +324,7 @@
                 request,
                 part,
                 decision,
-                accepts_unstated=self.dependencies.key_checker.is_known_to_all(),
+                accepts_earlier_release=self.dependencies.key_checker.is_known_to_all(),
             )
         except BuckthornstileError as error:
             # This process starts to consume the partition, so that it can serve the
@@ -333,7 +333,7 @@
             if not (is_soon and self.dependencies.key_checker.fails_closed):
                 self.dependencies.job_store.request_partition(part)
             raise
-        key.confirm(answer.outcome)
+        key.confirm(answer.decision)
         return answer.response
 
     def _find_partition(self, decision: KeyDecision) -> int:
@@ -366,7 +366,7 @@
         """
         consumer = self.dependencies.topology_watcher.operator_consumer
         if key.stated is None and not await consumer.wait_until_synced(
-            UNSTATED_READ_TIMEOUT
+            EARLIER_RELEASE_READ_TIMEOUT
         ):
             raise BuckthornstileError(
                 ErrorCode.CONFIGURATION_OLD,
--- a/buckthornstile/gateway/_item_runner.py
+++ b/buckthornstile/gateway/_item_runner.py
@@ -180,7 +180,7 @@
             )
         )
         try:
-            outcome = self._get_outcome(await self._wait_for_end())
+            outcome = self._get_last_decision(await self._wait_for_end())
         finally:
             if not self.task.done():
                 self.task.cancel()
@@ -344,7 +344,7 @@
         assert self.task is not None
         self.task.cancel()
 
-    def _get_outcome(self, is_timed_out: bool) -> RunOutcome:
+    def _get_last_decision(self, is_timed_out: bool) -> RunOutcome:
         balancer, task = self.runner.balancer, self.task
         assert task is not None
         if self.is_stale:
--- a/buckthornstile/gateway/_key_checks.py
+++ b/buckthornstile/gateway/_key_checks.py
@@ -225,7 +225,7 @@
             age=self.checker.topology_watcher.operator_consumer.get_staleness(),
         )
 
-    def get_outcome(self) -> KeyDecision:
+    def get_last_decision(self) -> KeyDecision:
         """Returns the latest decision, without an account if the key was refused."""
         if self.decision is not None:
             return self.decision
@@ -235,26 +235,27 @@
             version = max(version, self.stated.version)
         return KeyDecision(None, version)
 
-    def confirm(self, outcome: KeyDecision | None) -> None:
+    def confirm(self, peer_decision: KeyDecision | None) -> None:
         """Checks that a response of another entry may be passed on to the client.
 
         Args:
-            outcome: What the other entry has decided, or None if it stated nothing.
+            peer_decision: What the other entry has decided, or None if it stated
+                nothing.
 
         Raises:
             BuckthornstileError: The key is no longer valid, or the response was made
                 under an older configuration that decides otherwise.
         """
         configuration = self.checker.get_configuration()
-        if outcome is not None:
-            self.checker.record_version(outcome.version)
-        if outcome is not None and outcome.version >= configuration.version:
-            if configuration.accounts:
-                self.checker.check_age()
+        if peer_decision is None:
+            self.check()
             return
-        decision = self.check()
-        if outcome is not None and outcome.account != decision.account:
-            raise _make_changed_error()
+        self.checker.record_version(peer_decision.version)
+        if peer_decision.version < configuration.version:
+            if peer_decision.account != self.check().account:
+                raise _make_changed_error()
+        elif configuration.accounts:
+            self.checker.check_age()
 
 
 def _make_changed_error() -> BuckthornstileError:
--- a/buckthornstile/gateway/_peer_client.py
+++ b/buckthornstile/gateway/_peer_client.py
@@ -32,11 +32,11 @@
 
     Attributes:
         response: The response for the client.
-        outcome: The decision, or None if the entry stated none.
+        decision: The decision, or None if the entry is of a release that states none.
     """
 
     response: Response
-    outcome: KeyDecision | None
+    decision: KeyDecision | None
 
 
 class PeerClient:
@@ -67,7 +67,7 @@
         part: int,
         decision: KeyDecision,
         *,
-        accepts_unstated: bool,
+        accepts_earlier_release: bool,
     ) -> PeerResponse:
         """Forwards a request to one peer after another until one serves it.
 
@@ -77,8 +77,8 @@
             request: An idempotent request, as it may be sent to several peers.
             part: The partition of the job.
             decision: What this process has decided about the key of the request.
-            accepts_unstated: Whether a response without the peer's decision may be
-                used.
+            accepts_earlier_release: Whether a response may be used that does not state
+                the peer's decision.
 
         Raises:
             BuckthornstileError: No peer returned a response; ``CONFIGURATION_OLD`` if
@@ -89,14 +89,14 @@
             name for name in self.assignment.list_assigned(part) if name != self.name
         ]
         refusal: PeerResponse | None = None
-        has_unstated = False
+        has_earlier_release = False
         for peer in peers[:MAX_PEER_ATTEMPTS]:
             started_at = loop.time()
             answer = await self._ask(peer, request, decision)
             if answer is None:
                 continue
-            if answer.outcome is None and not accepts_unstated:
-                has_unstated = True
+            if answer.decision is None and not accepts_earlier_release:
+                has_earlier_release = True
                 continue
             if answer.response.status != REFUSAL_STATUS:
                 return answer
@@ -107,7 +107,7 @@
                 break
         if refusal is not None:
             return refusal
-        if has_unstated:
+        if has_earlier_release:
             raise BuckthornstileError(
                 ErrorCode.CONFIGURATION_OLD,
                 "the entries that responded may have an older configuration",
@@ -141,14 +141,14 @@
             log_event("peer.failed", request=request.id, peer=peer, reason=repr(error))
             self.pool.close_idle(address)
             return None
-        outcome = decode_key_decision(tuple(response.headers.get_all()))
+        peer_decision = decode_key_decision(tuple(response.headers.get_all()))
         if response.status != 200:
             log_event(
                 "peer.refused",
                 request=request.id,
                 peer=peer,
                 status=response.status,
-                version=outcome.version if outcome is not None else None,
+                version=peer_decision.version if peer_decision else None,
                 own_version=decision.version,
             )
-        return PeerResponse(decode_forwarded_response(response), outcome)
+        return PeerResponse(decode_forwarded_response(response), peer_decision)
